--- /dev/null
+++ b/src/app/daemon.cpp
@@ -0,0 +1,249 @@
+#include "app/daemon.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <random>
+
+#include "coordination/core.hpp"
+#include "protocol/cloud_codec.hpp"
+#include "protocol/state_codec.hpp"
+#include "protocol/user_codec.hpp"
+#include "protocol/worker_codec.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+#include "transport/loop.hpp"
+#include "transport/peer_link.hpp"
+
+namespace sailreel {
+namespace {
+
+constexpr std::int64_t kIdleMs = 60'000;
+constexpr std::int64_t kSweepMs = 50;
+constexpr std::int64_t kReconnectMs = 500;
+constexpr std::size_t kIncomingLinks = 32;
+
+std::uint64_t seed() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) ^ device();
+}
+
+}  // namespace
+
+class Daemon::Impl {
+ public:
+  Impl(const Settings& settings, const Options& options)
+      : settings_(settings),
+        core_(settings, options, seed()),
+        // Sockets are shared out by the limit: most to users and workers, the rest to what we open.
+        client_(loop_, settings.limits.sockets / 4),
+        workers_(loop_, settings.limits.sockets / 4),
+        server_(loop_, settings.listen, settings.limits.sockets / 2 - kIncomingLinks / 2, kMaxBody,
+                kIdleMs, [this](ServerRequest r) { serve(std::move(r)); }),
+        peers_(loop_, settings.peer_listen, kIncomingLinks,
+               {[this](std::uint64_t link, std::string_view b) { return peer_bytes(link, b); },
+                [this](std::uint64_t link) { peer_closed(link); }}),
+        siblings_(settings.siblings.size()),
+        tick_(loop_, [this] { feed(Tick{}); }),
+        sweep_(loop_, [this] { sweep(); }) {}
+
+  void run() {
+    spdlog::info("event=started node={} zone={} listen={}", settings_.name, settings_.zone,
+                 settings_.listen);
+    sweep();
+    feed(Tick{});
+    loop_.run();
+  }
+
+ private:
+  struct SiblingLink {
+    std::uint64_t link = 0;  // 0: none
+    std::int64_t retry_at = 0;
+  };
+
+  static Clock clock() { return {EventLoop::now_ms(), EventLoop::wall_ms()}; }
+
+  void feed(Input input) {
+    for (Action& action : core_.step(clock(), std::move(input)))
+      std::visit([this](auto& a) { act(a); }, action);
+  }
+
+  void sweep() {
+    client_.sweep();
+    workers_.sweep();
+    if (++sweeps_ % 64 == 0) server_.sweep();
+    sweep_.set(kSweepMs);
+  }
+
+  // ---- actions ----
+
+  // The process may have stood still between the decision and this moment.
+  static bool late(Time valid_until) { return EventLoop::now_ms() >= valid_until; }
+
+  void act(const Answer& a) {
+    if (late(a.valid_until))
+      respond(a.origin, 503, encode_error("leadership may have ended"), 1);
+    else
+      respond(a.origin, a.status, a.body, a.retry_after_s);
+  }
+
+  void respond(const Origin& origin, int status, const std::string& body, int retry_after_s) {
+    if (origin.kind == Origin::Kind::Local) {
+      server_.respond(origin.link, status, body, retry_after_s);
+    } else if (origin.kind == Origin::Kind::Peer) {
+      PeerMessage m;
+      m.kind = PeerMessage::Kind::Answer;
+      m.answer = {origin.call, status, retry_after_s, body};
+      peers_.send(origin.link, encode_peer(m));
+    }
+  }
+
+  void act(const CallState& a) {
+    const HttpRequest h = encode_state(a.request);
+    client_.request(settings_.state, h.method, h.path, h.body, a.timeout_ms, true,
+                    [this, call = a.call, request = a.request](int status, std::string_view body) {
+                      feed(StateAnswer{call, decode_state(request, status, body)});
+                    });
+  }
+
+  void act(const CallCloud& a) {
+    const HttpRequest h = encode_cloud(a.request);
+    client_.request(settings_.cloud, h.method, h.path, h.body, a.timeout_ms, true,
+                    [this, call = a.call, request = a.request](int status, std::string_view body) {
+                      feed(CloudAnswer{call, decode_cloud(request, status, body)});
+                    });
+  }
+
+  void act(const CallWorker& a) {
+    if (late(a.valid_until)) return feed(WorkerAnswer{a.call, 0, {}});
+    workers_.request(a.address, "POST", "/do", a.body, a.timeout_ms, false,
+                     [this, call = a.call](int status, std::string_view body) {
+                       feed(WorkerAnswer{call, status,
+                                         status == 200 || status == 409 ? decode_report(body)
+                                                                        : std::nullopt});
+                     });
+  }
+
+  void act(const SendPeer& a) {
+    SiblingLink& s = siblings_[a.sibling];
+    if (s.link == 0) {
+      if (EventLoop::now_ms() < s.retry_at) return;
+      s.retry_at = EventLoop::now_ms() + kReconnectMs;
+      s.link = peers_.connect(settings_.siblings[a.sibling].address);
+    }
+    peers_.send(s.link, encode_peer(a.message));
+  }
+
+  void act(const ArmTimer& a) { tick_.set(a.in_ms); }
+
+  static void act(const Log& a) {
+    const auto level = a.level == Log::Level::Debug  ? spdlog::level::debug
+                       : a.level == Log::Level::Info ? spdlog::level::info
+                                                     : spdlog::level::err;
+    spdlog::log(level, a.text);
+  }
+
+  // ---- inputs ----
+
+  void serve(ServerRequest r) {
+    const Origin origin{Origin::Kind::Local, r.connection, 0};
+    const auto error = [&](int status, const char* text) {
+      respond(origin, status, encode_error(text), 0);
+    };
+    if (r.oversize) return error(400, "body too large");
+    const std::string_view path = std::string_view(r.path).substr(0, r.path.find('?'));
+    if (path == "/hello") {
+      if (r.method != "POST") return error(405, "method not allowed");
+      auto report = decode_report(r.body);
+      if (!report) return error(400, "not a report");
+      return feed(WorkerReport{origin, std::move(*report), std::move(r.body)});
+    }
+    if (path == "/healthz") {
+      if (r.method != "GET") return error(405, "method not allowed");
+      const bool ok = core_.healthy(EventLoop::now_ms());
+      return respond(origin, ok ? 200 : 503, ok ? "{}" : encode_error("no leader"), 0);
+    }
+    constexpr std::string_view kJobs = "/v1/jobs";
+    if (path == kJobs) {
+      if (r.method != "POST") return error(405, "method not allowed");
+      return feed(UserRequest{origin, UserOp::Submit, {}, std::move(r.body)});
+    }
+    if (!path.starts_with("/v1/jobs/")) return error(404, "no such path");
+    std::string_view id = path.substr(kJobs.size() + 1);
+    constexpr std::string_view kWithdraw = "/withdraw";
+    const bool cancel = id.ends_with(kWithdraw);
+    if (cancel) id.remove_suffix(kWithdraw.size());
+    if (id.find('/') != std::string_view::npos) return error(404, "no such path");
+    if (r.method != (cancel ? "POST" : "GET")) return error(405, "method not allowed");
+    if (!valid_job_id(id)) return error(404, "no such job");
+    feed(UserRequest{origin, cancel ? UserOp::Cancel : UserOp::Query, std::string(id), {}});
+  }
+
+  bool peer_bytes(std::uint64_t link, std::string_view bytes) {
+    PeerReader& reader = readers_[link];
+    reader.feed(bytes);
+    while (auto message = reader.next()) {
+      peer_message(link, std::move(*message));
+      if (!readers_.contains(link)) return true;  // closed meanwhile
+    }
+    return !reader.broken();
+  }
+
+  void peer_message(std::uint64_t link, PeerMessage m) {
+    switch (m.kind) {
+      case PeerMessage::Kind::Beat:
+        for (std::size_t i = 0; i < settings_.siblings.size(); ++i)
+          if (settings_.siblings[i].name == m.beat.node) return feed(PeerInput{i, std::move(m)});
+        return;
+      case PeerMessage::Kind::Request: {
+        const Origin origin{Origin::Kind::Peer, link, m.request.call};
+        if (m.request.op != UserOp::Report)
+          return feed(UserRequest{origin, m.request.op, std::move(m.request.id),
+                                  std::move(m.request.body)});
+        auto report = decode_report(m.request.body);
+        if (!report) return respond(origin, 400, encode_error("not a report"), 0);
+        return feed(WorkerReport{origin, std::move(*report), std::move(m.request.body)});
+      }
+      case PeerMessage::Kind::Answer:
+        for (std::size_t i = 0; i < siblings_.size(); ++i)
+          if (siblings_[i].link == link) return feed(PeerInput{i, std::move(m)});
+        return;
+    }
+  }
+
+  void peer_closed(std::uint64_t link) {
+    readers_.erase(link);
+    for (std::size_t i = 0; i < siblings_.size(); ++i)
+      if (siblings_[i].link == link) {
+        siblings_[i].link = 0;
+        // Told from the loop's next turn: this may be within a step of the core.
+        lost_.push_back(i);
+      }
+    if (!lost_.empty() && !lost_timer_)
+      lost_timer_ = std::make_unique<Timer>(loop_, [this] {
+        auto lost = std::move(lost_);
+        lost_.clear();
+        for (const std::size_t i : lost) feed(PeerLost{i});
+      });
+    if (!lost_.empty()) lost_timer_->set(0);
+  }
+
+  const Settings settings_;
+  EventLoop loop_;
+  Core core_;
+  HttpClient client_, workers_;
+  HttpServer server_;
+  PeerLinks peers_;
+  std::vector<SiblingLink> siblings_;
+  std::unordered_map<std::uint64_t, PeerReader> readers_;
+  std::vector<std::size_t> lost_;
+  std::unique_ptr<Timer> lost_timer_;
+  std::uint64_t sweeps_ = 0;
+  Timer tick_, sweep_;
+};
+
+Daemon::Daemon(const Settings& settings, const Options& options)
+    : impl_(std::make_unique<Impl>(settings, options)) {}
+Daemon::~Daemon() = default;
+void Daemon::run() { impl_->run(); }
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,77 @@
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "app/daemon.hpp"
+#include "app/options.hpp"
+
+namespace {
+
+constexpr int kBadUsage = 2;
+
+sailreel::Settings load_settings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw sailreel::SettingsError("settings: cannot read " + path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return sailreel::parse_settings(text.str());
+}
+
+void set_up_log() {
+  auto logger = spdlog::stderr_logger_st("sailreel");
+  logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+  spdlog::set_default_logger(logger);
+  const char* wanted = std::getenv("LOG_LEVEL");
+  const std::string level = wanted == nullptr || *wanted == '\0' ? "info" : wanted;
+  if (level == "error")
+    spdlog::set_level(spdlog::level::err);
+  else if (level == "info")
+    spdlog::set_level(spdlog::level::info);
+  else if (level == "debug")
+    spdlog::set_level(spdlog::level::debug);
+  else
+    throw sailreel::SettingsError("LOG_LEVEL: must be error, info or debug");
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"sailreel: a scheduler for fleets that serve language models"};
+  app.set_version_flag("--version", "sailreel " SAILREEL_VERSION);
+  std::string config, options_path;
+  bool check = false;
+  app.add_option("--config", config, "Settings file of the platform (JSON)")->required();
+  app.add_option("--options", options_path, "Operators' own options (protobuf text format)");
+  app.add_flag("--check-config", check, "Check both files and stop");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadUsage;
+  }
+  // A peer that closes while we write is seen by the write's result.
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    set_up_log();
+    const sailreel::Settings settings = load_settings(config);
+    const sailreel::Options options =
+        options_path.empty() ? sailreel::Options{} : sailreel::load_options(options_path);
+    if (check) {
+      std::cout << "settings of " << settings.name << " are valid\n";
+      return 0;
+    }
+    sailreel::Daemon(settings, options).run();
+  } catch (const sailreel::SettingsError& e) {
+    std::cerr << "sailreel: " << e.what() << '\n';
+    return kBadUsage;
+  } catch (const std::exception& e) {
+    std::cerr << "sailreel: " << e.what() << '\n';
+    return 1;
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/app/options.cpp
@@ -0,0 +1,46 @@
+#include "app/options.hpp"
+
+#include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/text_format.h>
+
+#include <fstream>
+#include <sstream>
+
+#include "options.pb.h"
+
+namespace sailreel {
+namespace {
+
+/// Keeps the first complaint of the parser.
+class FirstError : public google::protobuf::io::ErrorCollector {
+ public:
+  void AddError(int line, int, const std::string& text) override {
+    if (message.empty()) message = "line " + std::to_string(line + 1) + ": " + text;
+  }
+  std::string message;
+};
+
+}  // namespace
+
+Options load_options(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  if (!file || !(text << file.rdbuf())) {
+    // An empty file leaves the stream failed, and is a valid one.
+    if (!file.is_open()) throw SettingsError("options: cannot read " + path);
+  }
+  FirstError errors;
+  google::protobuf::TextFormat::Parser parser;
+  parser.RecordErrorsTo(&errors);
+  config::OptionsFile in;
+  if (!parser.ParseFromString(text.str(), &in)) throw SettingsError("options: " + errors.message);
+  Options out;
+  if (in.has_leader_lease_ratio()) out.leader_lease_ratio = in.leader_lease_ratio();
+  if (in.has_headroom_ratio()) out.headroom_ratio = in.headroom_ratio();
+  if (in.has_idle_ratio()) out.idle_ratio = in.idle_ratio();
+  if (in.has_state_share()) out.state_share = in.state_share();
+  check_options(out);
+  return out;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/core.cpp
@@ -0,0 +1,124 @@
+#include "coordination/core.hpp"
+
+#include "protocol/user_codec.hpp"
+#include "protocol/worker_codec.hpp"
+
+namespace sailreel {
+namespace {
+/// Ticks are a twentieth of a worker's report interval apart, but never finer than timers are.
+Time tick_ms(const Settings& s) {
+  return std::clamp<Time>(ms(s.workers.report_s) / 20, 40, 200);
+}
+}  // namespace
+
+Core::Core(Settings settings, Options options, std::uint64_t seed)
+    : settings_(std::move(settings)),
+      options_(options),
+      random_(seed),
+      tables_(settings_),
+      state_budget_(settings_.store.rps * options.state_share,
+                    settings_.store.rps * options.state_share),
+      write_budget_(settings_.store.write_rps * options.state_share,
+                    settings_.store.write_rps * options.state_share),
+      cloud_budget_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
+      sibling_views_(settings_.siblings.size()) {
+  nonce_ = (std::uint64_t{random_()} << 20) ^ random_();
+}
+
+std::vector<Action> Core::step(Clock clock, Input input) {
+  // A clock that stood still or went back would stretch leases; it never runs backwards here.
+  clock_.now = std::max(clock_.now, clock.now);
+  clock_.wall_ms = clock.wall_ms;
+  out_.clear();
+  std::visit(
+      [this](auto& in) {
+        using T = std::decay_t<decltype(in)>;
+        if constexpr (std::is_same_v<T, Tick>) {
+          tick();
+        } else if constexpr (std::is_same_v<T, UserRequest>) {
+          user_request(in);
+        } else if constexpr (std::is_same_v<T, WorkerReport>) {
+          worker_report(in);
+        } else if constexpr (std::is_same_v<T, StateAnswer>) {
+          if (auto node = state_calls_.extract(in.call)) node.mapped()(in.reply);
+        } else if constexpr (std::is_same_v<T, CloudAnswer>) {
+          if (auto node = cloud_calls_.extract(in.call)) node.mapped()(in.reply);
+        } else if constexpr (std::is_same_v<T, WorkerAnswer>) {
+          worker_answer(in);
+        } else if constexpr (std::is_same_v<T, PeerInput>) {
+          if (in.message.kind == PeerMessage::Kind::Beat)
+            peer_beat(in.sibling, in.message.beat);
+          else if (in.message.kind == PeerMessage::Kind::Answer)
+            peer_answer(in.sibling, in.message.answer);
+        } else if constexpr (std::is_same_v<T, PeerLost>) {
+          sibling_views_[in.sibling].leading = false;
+          for (auto& [call, f] : forwarded_)
+            if (f.sibling == in.sibling) f.until = clock_.now;
+          intake_tick();
+        }
+      },
+      input);
+  if (role_ == Role::Leader) maybe_commit();
+  return std::move(out_);
+}
+
+void Core::tick() {
+  election_tick();
+  intake_tick();
+  if (role_ == Role::Leader) {
+    rebuild_tick();
+    machine_tick();
+    if (in_command(clock_.now)) {
+      if (placement_dirty_) place_all();
+      fleet_tick();
+    }
+  }
+  out_.push_back(ArmTimer{tick_ms(settings_)});
+}
+
+bool Core::healthy(Time now) const {
+  // Short gaps, such as a take-over, aren't worth being taken off the balancer's list for.
+  return now - last_path_ < worker_lease() / 2;
+}
+
+void Core::answer(const Origin& origin, int status, std::string body, int retry_after_s,
+                  Time valid_until) {
+  if (origin.kind == Origin::Kind::None) return;
+  out_.push_back(Answer{origin, status, std::move(body), retry_after_s, valid_until});
+}
+
+void Core::refuse(const Origin& origin, const char* why) {
+  answer(origin, 503, encode_error(why), 1);
+}
+
+bool Core::call_state(StateCall request, StateThen then, bool urgent) {
+  // Renewals and elections come first: they may overdraw the budget, others have to wait.
+  if (!urgent && !state_budget_.has(1 + settings_.store.rps / 20, clock_.now)) return false;
+  state_budget_.has(0, clock_.now);
+  state_budget_.take(1);
+  const std::uint64_t call = next_call_++;
+  const bool watch = request.kind == StateCall::Kind::Watch;
+  const Time timeout =
+      watch ? request.wait_ms + worker_lease() / 10 : std::max<Time>(worker_lease() / 10, 500);
+  state_calls_.emplace(call, std::move(then));
+  out_.push_back(CallState{call, std::move(request), timeout});
+  return true;
+}
+
+bool Core::call_cloud(CloudCall request, CloudThen then, bool keep_reserve) {
+  if (!cloud_budget_.has(keep_reserve ? 2 : 1, clock_.now)) return false;
+  cloud_budget_.take(1);
+  const std::uint64_t call = next_call_++;
+  cloud_calls_.emplace(call, std::move(then));
+  out_.push_back(CallCloud{call, std::move(request), ms(settings_.workers.lease_s / 2)});
+  return true;
+}
+
+void Core::call_worker(const std::string& address, std::string body, WorkerThen then) {
+  const std::uint64_t call = next_call_++;
+  worker_calls_.emplace(call, std::move(then));
+  out_.push_back(CallWorker{call, address, std::move(body),
+                            std::max<Time>(worker_lease() / 14, 500), command_until()});
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/core.hpp
@@ -0,0 +1,414 @@
+// The heart of a controller: a state machine that takes inputs and returns what to send, write and
+// answer. It does no input or output, reads no clock and draws no random number of its own.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <pcg_random.hpp>
+#include <variant>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "protocol/peer_frames.hpp"
+#include "protocol/settings.hpp"
+#include "protocol/user_codec.hpp"
+#include "storage/checkpoint.hpp"
+#include "storage/tables.hpp"
+
+namespace sailreel {
+
+/// Where a request came from, and so where its answer goes.
+struct Origin {
+  enum class Kind : std::uint8_t { None, Local, Peer } kind = Kind::None;
+  std::uint64_t link = 0;  // connection, or peer link
+  std::uint64_t call = 0;  // the peer's number for the request
+};
+
+// ---- inputs ----
+struct UserRequest {
+  Origin origin;
+  UserOp op = UserOp::Query;
+  std::string id;    // empty for a submission
+  std::string body;  // a submission's
+};
+struct WorkerReport {
+  Origin origin;
+  Report report;
+  std::string raw;  // as received, to be handed on
+};
+struct StateAnswer {
+  std::uint64_t call = 0;
+  StateReply reply;
+};
+struct CloudAnswer {
+  std::uint64_t call = 0;
+  CloudReply reply;
+};
+/// What a direct command or inquiry brought.
+struct WorkerAnswer {
+  std::uint64_t call = 0;
+  int status = 0;
+  std::optional<Report> report;
+};
+struct PeerInput {
+  std::size_t sibling = 0;
+  PeerMessage message;  // a beat or an answer; requests come as UserRequest or WorkerReport
+};
+struct PeerLost {
+  std::size_t sibling = 0;
+};
+struct Tick {};
+using Input = std::variant<Tick, UserRequest, WorkerReport, StateAnswer, CloudAnswer, WorkerAnswer,
+                           PeerInput, PeerLost>;
+
+// ---- actions ----
+struct Answer {
+  Origin origin;
+  int status = 0;
+  std::string body;
+  int retry_after_s = 0;
+  /// Not to be sent at or after this moment: the right to say it may be over by then.
+  Time valid_until = kNever;
+};
+struct CallState {
+  std::uint64_t call = 0;
+  StateCall request;
+  Time timeout_ms = 0;
+};
+struct CallCloud {
+  std::uint64_t call = 0;
+  CloudCall request;
+  Time timeout_ms = 0;
+};
+struct CallWorker {
+  std::uint64_t call = 0;
+  std::string address, body;
+  Time timeout_ms = 0;
+  Time valid_until = kNever;
+};
+struct SendPeer {
+  std::size_t sibling = 0;
+  PeerMessage message;
+};
+struct ArmTimer {
+  Time in_ms = 0;
+};
+struct Log {
+  enum class Level : std::uint8_t { Debug, Info, Error } level = Level::Info;
+  std::string text;
+};
+using Action = std::variant<Answer, CallState, CallCloud, CallWorker, SendPeer, ArmTimer, Log>;
+
+struct Clock {
+  Time now = 0;
+  std::int64_t wall_ms = 0;
+};
+
+/// Allows so many a second, and a second's worth at once.
+class Budget {
+ public:
+  Budget(double per_second, double burst) : rate_(per_second), burst_(burst), left_(burst) {}
+  bool has(double n, Time now) {
+    left_ = std::min(burst_, left_ + rate_ * static_cast<double>(now - at_) / 1000.0);
+    at_ = now;
+    return left_ >= std::min(n, burst_);
+  }
+  void take(double n) { left_ -= n; }
+  bool try_take(double n, Time now) {
+    if (!has(n, now)) return false;
+    take(n);
+    return true;
+  }
+
+ private:
+  double rate_, burst_, left_;
+  Time at_ = 0;
+};
+
+class Core {
+ public:
+  Core(Settings settings, Options options, std::uint64_t seed);
+
+  std::vector<Action> step(Clock clock, Input input);
+
+  /// Whether users should be sent to this node.
+  [[nodiscard]] bool healthy(Time now) const;
+  [[nodiscard]] bool leading() const { return role_ == Role::Leader; }
+  [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+  [[nodiscard]] bool in_command(Time now) const {
+    return role_ == Role::Leader && now < lease_deadline_;
+  }
+  [[nodiscard]] const Tables& tables() const { return tables_; }
+  [[nodiscard]] bool rebuilding() const { return rebuilding_; }
+
+ private:
+  enum class Role : std::uint8_t { Follower, Candidate, Loading, Leader };
+
+  // core.cpp
+  void tick();
+  void answer(const Origin& origin, int status, std::string body, int retry_after_s = 0,
+              Time valid_until = kNever);
+  void refuse(const Origin& origin, const char* why);
+  template <typename... Parts>
+  void log(Log::Level level, const Parts&... parts);
+  using StateThen = std::function<void(const StateReply&)>;
+  bool call_state(StateCall request, StateThen then, bool urgent = false);
+  using CloudThen = std::function<void(const CloudReply&)>;
+  bool call_cloud(CloudCall request, CloudThen then, bool keep_reserve);
+  using WorkerThen = std::function<void(int, const std::optional<Report>&)>;
+  void call_worker(const std::string& address, std::string body, WorkerThen then);
+  [[nodiscard]] Time command_until() const { return lease_deadline_; }
+  [[nodiscard]] Time report_interval() const { return ms(settings_.workers.report_s); }
+  [[nodiscard]] Time worker_lease() const { return ms(settings_.workers.lease_s); }
+  /// A span on a worker's clock, as long as it may last on ours, and a little more.
+  [[nodiscard]] static Time surely(Time span) { return span + span / 500 + 50; }
+
+  // election.cpp
+  void election_tick();
+  void watch_leader();
+  void learn_leader(const StateItem* item);
+  void campaign();
+  void claim(std::uint64_t lease, Time granted);
+  void load(std::string from, std::uint64_t revision);
+  void renew();
+  void step_down(const char* why);
+  void peer_beat(std::size_t sibling, const PeerBeat& beat);
+  void send_beats();
+  [[nodiscard]] int leader_sibling() const;  // -1: unknown, or ourselves
+
+  // intake.cpp
+  void user_request(const UserRequest& request);
+  void lead_submit(const UserRequest& request);
+  void lead_query(const UserRequest& request);
+  void lead_cancel(const UserRequest& request);
+  void forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
+               std::size_t sibling);
+  void peer_answer(std::size_t sibling, const PeerAnswer& answer);
+  void intake_tick();
+  void look_up(const Origin& origin, const std::string& id);
+  void refresh();
+  void refresh_list(std::string from, std::uint64_t revision);
+  void finish_lookups(bool ok);
+  [[nodiscard]] JobView view(const Job& job) const;
+  [[nodiscard]] JobView view(const std::string& id, const FinishedJob& job) const;
+  void answer_job(const Origin& origin, int status, const JobView& view);
+
+  // rounds.cpp
+  struct Waiter {
+    Origin origin;
+    int status = 200;
+    std::string id;
+  };
+  void after_commit(Waiter waiter) { waiting_next_.push_back(std::move(waiter)); }
+  void maybe_commit();
+  void send_round();
+  void round_done(const StateReply& reply);
+  void round_committed(std::uint64_t revision);
+  void resolve_round();
+  [[nodiscard]] bool round_needed() const;
+  std::string record_text(Job& job, std::uint64_t seq);
+  std::size_t shard_for(const std::string& id, std::size_t reserve);
+  void settle_job(Job& job);
+  void touch(Job& job);
+  void finish_job(Job& job);
+
+  // rebuild.cpp
+  void begin_rebuild();
+  void rebuild_tick();
+  void inquire(Machine& m);
+
+  // reports.cpp
+  void worker_report(const WorkerReport& input);
+  void worker_answer(const WorkerAnswer& input);
+  /// Takes in a report; false if it is a late copy.
+  bool take_report(const Report& report, bool direct);
+  void session_lost(Machine& m, const char* why);
+  void take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen);
+  void task_exited(Machine& m, Placement& p);
+  std::vector<Command> commands_for(Machine& m, std::uint64_t report_seq);
+  void machine_tick();
+  void machine_gone(Machine& m, const char* why);
+  void note_finished(Job& job, std::uint32_t index);
+  [[nodiscard]] Time expiry(const Machine& m) const;
+  [[nodiscard]] Time report_grace() const;
+  void probe(Machine& m);
+
+  // placement.cpp
+  struct Unmet {
+    Resources total;
+    std::uint32_t tasks = 0;
+    bool spot = false;
+    std::string zone;
+    std::vector<std::string> types;
+    bool any_type = true;
+    Resources each;
+  };
+  void place_all();
+  bool place_job(Job& job);
+  Machine* choose(const Job& job);
+  [[nodiscard]] bool usable(const Machine& m) const;
+  [[nodiscard]] std::vector<Job*> queue_order(Priority priority);
+  void note_guarantees();
+  bool never_fits(const JobSpec& spec, std::string& why) const;
+
+  // preemption.cpp
+  bool make_room(const Job& job);
+  [[nodiscard]] bool may_stop(const Job& job, const Placement& p) const;
+  void stop_task(Placement& p, double grace_s);
+  void stop_job(Job& job);
+  [[nodiscard]] double grace_for(const Job& job) const;
+
+  // fleet_sizing.cpp
+  void fleet_tick();
+  void poll_cloud();
+  void take_types(const CloudReply& reply);
+  void take_list(const CloudReply& reply);
+  void size_fleet();
+  void rent(const std::string& type, const std::string& zone, bool spot, std::uint32_t count);
+  void send_rentals();
+  void return_idle();
+  void send_releases();
+  void release(Machine& m, const char* why);
+  void drain(Machine& m, const char* why);
+
+  const Settings settings_;
+  const Options options_;
+  pcg32 random_;
+  Clock clock_;
+  std::vector<Action> out_;
+  Tables tables_;
+
+  // calls in flight
+  std::uint64_t next_call_ = 1;
+  std::unordered_map<std::uint64_t, StateThen> state_calls_;
+  std::unordered_map<std::uint64_t, CloudThen> cloud_calls_;
+  std::unordered_map<std::uint64_t, WorkerThen> worker_calls_;
+  Budget state_budget_, write_budget_, cloud_budget_;
+  std::uint64_t term_ = 0;  // raised when we begin or end to lead; continuations of an older one end
+
+  // election
+  Role role_ = Role::Follower;
+  std::uint64_t epoch_ = 0;  // ours while leading, else the highest heard of
+  std::uint64_t epoch_version_ = 0;
+  std::uint64_t nonce_ = 0;
+  std::uint64_t lease_ = 0;
+  Time lease_deadline_ = 0, led_since_ = 0;
+  Time next_renew_ = 0;
+  bool renewing_ = false;
+  bool watching_ = false;
+  Time watch_retry_ = 0, campaign_at_ = kNever;
+  std::string leader_name_;
+  Time next_beat_ = 0;
+  struct SiblingView {
+    Time heard = -kNever;
+    bool leading = false;
+    std::uint64_t epoch = 0;
+  };
+  std::vector<SiblingView> sibling_views_;
+  Time last_path_ = 0;
+
+  // followers' part in intake
+  struct Forwarded {
+    Origin origin;
+    UserOp op = UserOp::Query;
+    std::string id;
+    std::size_t sibling = 0;
+    Time until = 0;
+  };
+  std::map<std::uint64_t, Forwarded> forwarded_;
+  std::uint64_t next_forward_ = 1;
+  Image image_;
+  bool image_loaded_ = false;
+  std::uint64_t image_revision_ = 0;
+  struct Lookup {
+    Origin origin;
+    std::string id;
+    Time since = 0;
+  };
+  std::vector<Lookup> lookups_, lookups_served_;
+  bool refreshing_ = false;
+  Time next_refresh_ = 0;
+  std::unordered_map<std::string, Time> turned_away_;  // workers sent to the leader, and when
+
+  // rounds
+  std::uint64_t head_seq_ = 0, head_version_ = 0;
+  std::map<std::string, std::string> tail_;  // records in the head
+  std::vector<Job*> dirty_jobs_;
+  std::set<std::size_t> dirty_machine_shards_;
+  bool rentals_dirty_ = false;
+  struct Shard {
+    std::set<std::string> ids;
+    std::size_t reserved = 0;
+  };
+  std::vector<Shard> shards_;
+  std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> shard_of_;  // and reserve
+  struct Round {
+    StateCall call;
+    std::uint64_t seq = 0;
+    std::map<std::string, std::string> tail;
+    struct Change {
+      std::string id;
+      Phase phase = Phase::Active;
+      bool final = false, started = false;
+    };
+    std::vector<Change> jobs;
+    std::vector<Waiter> waiters;
+    std::vector<std::string> machines_added, rentals;
+    std::vector<std::pair<std::string, std::uint32_t>> finished_tasks;
+  };
+  Round round_;
+  bool round_open_ = false;
+  Time round_retry_ = kNever;
+  std::vector<Waiter> waiting_next_;
+  std::vector<std::pair<std::string, std::uint32_t>> finished_next_;
+
+  // rebuild
+  bool rebuilding_ = false;
+  Time fence_at_ = 0;  // by then whatever a former leader kept alive has ended
+  std::uint64_t next_attempt_ = 1;
+
+  // machines
+  struct OpenRental {
+    RentalRequest request;
+    bool committed = false, asking = false;
+    Time retry = 0, since = 0;
+  };
+  std::map<std::string, OpenRental> rentals_;
+  std::uint64_t next_rental_ = 1;
+  std::map<std::string, Time> refused_;  // type/zone/kind without capacity, until when
+  std::set<std::string> release_queue_;
+  std::map<std::string, Time> released_;
+  bool releasing_ = false;
+  Time next_types_ = 0, next_list_ = 0, next_sizing_ = 0;
+  bool listing_ = false;
+
+  // placement
+  bool placement_dirty_ = false;
+  Time next_placement_ = 0;
+  std::vector<Unmet> unmet_;
+  std::unordered_map<std::string, bool> guaranteed_;
+  /// Room on machines that the present pass has promised to tasks of higher priority.
+  std::unordered_map<const Machine*, Resources> claims_;
+};
+
+template <typename... Parts>
+void Core::log(Log::Level level, const Parts&... parts) {
+  std::string text = "epoch=" + std::to_string(epoch_);
+  const auto add = [&](const auto& part) {
+    if constexpr (std::is_arithmetic_v<std::decay_t<decltype(part)>>)
+      text += std::to_string(part);
+    else
+      text += part;
+  };
+  text += ' ';
+  (add(parts), ...);
+  out_.push_back(Log{level, std::move(text)});
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/election.cpp
@@ -0,0 +1,295 @@
+// Who leads: a lease in the state service, numbered by epoch.
+#include "coordination/core.hpp"
+
+namespace sailreel {
+namespace {
+/// The leader's lease is renewed this often within its length, so that one lost answer or one slow
+/// one doesn't end it.
+constexpr Time kRenewalsPerLease = 4;
+constexpr Time kWatchMs = 10'000;
+}  // namespace
+
+void Core::election_tick() {
+  const Time now = clock_.now;
+  if (now >= next_beat_) send_beats();
+  if (role_ == Role::Leader || role_ == Role::Loading) {
+    if (in_command(now)) last_path_ = now;
+    if (!renewing_ && now >= next_renew_) renew();
+    return;
+  }
+  if (leader_sibling() >= 0) last_path_ = now;
+  if (role_ == Role::Follower && now >= campaign_at_) {
+    campaign();
+    return;
+  }
+  if (!watching_ && now >= watch_retry_) watch_leader();
+}
+
+// Reads who leads, then waits for a change of that.
+void Core::watch_leader() {
+  watching_ = true;
+  StateCall get;
+  get.kind = StateCall::Kind::List;
+  get.key = kLeaderKey;
+  get.limit = 1;
+  const std::uint64_t term = term_;
+  call_state(
+      get,
+      [this, term](const StateReply& r) {
+        if (term != term_) return;
+        watching_ = false;
+        // A node that the state service refuses gets 503 at once: don't ask in a storm.
+        watch_retry_ = clock_.now + worker_lease() / 40;
+        if (r.status != 200) return;
+        learn_leader(r.items.empty() ? nullptr : &r.items.front());
+        if (campaign_at_ != kNever) return;
+        StateCall watch;
+        watch.kind = StateCall::Kind::Watch;
+        watch.key = kLeaderKey;
+        watch.revision = r.revision;
+        watch.wait_ms = kWatchMs;
+        watching_ = true;
+        call_state(
+            watch,
+            [this, term](const StateReply& w) {
+              if (term != term_) return;
+              watching_ = false;
+              watch_retry_ = clock_.now + (w.status == 200 ? 0 : worker_lease() / 40);
+              if (w.status == 200 && !w.items.empty()) {
+                learn_leader(w.items.back().deleted ? nullptr : &w.items.back());
+                if (campaign_at_ == clock_.now) campaign();
+              }
+            },
+            true);
+      },
+      true);
+}
+
+void Core::learn_leader(const StateItem* item) {
+  if (item == nullptr) {
+    leader_name_.clear();
+    if (campaign_at_ == kNever) {
+      // Standbys try one after the other: by the order of their names, and a little chance.
+      Time rank = 0;
+      for (const Sibling& s : settings_.siblings)
+        if (s.name < settings_.name) ++rank;
+      campaign_at_ = clock_.now + rank * 40 + static_cast<Time>(random_(30));
+    }
+    return;
+  }
+  campaign_at_ = kNever;
+  if (const auto l = decode_leader(item->value)) {
+    leader_name_ = l->node;
+    epoch_ = std::max(epoch_, l->epoch);
+  }
+}
+
+void Core::campaign() {
+  campaign_at_ = kNever;
+  role_ = Role::Candidate;
+  const std::uint64_t term = ++term_;
+  watching_ = false;
+  nonce_ += 1 + random_();
+  // Answers to what was asked under the former term are dropped, so its look-ups start again.
+  refreshing_ = false;
+  lookups_.insert(lookups_.end(), lookups_served_.begin(), lookups_served_.end());
+  lookups_served_.clear();
+  StateCall grant;
+  grant.kind = StateCall::Kind::Grant;
+  grant.ttl_ms = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
+  const Time granted = clock_.now;
+  call_state(
+      grant,
+      [this, term, granted](const StateReply& r) {
+        if (term != term_) return;
+        if (r.status != 200) return step_down("no lease granted");
+        const std::uint64_t lease = r.lease;
+        StateCall get;
+        get.kind = StateCall::Kind::List;
+        get.key = kEpochKey;
+        get.limit = 1;
+        call_state(
+            get,
+            [this, term, lease, granted](const StateReply& e) {
+              if (term != term_) return;
+              if (e.status != 200) return step_down("epoch not readable");
+              Image image;
+              for (const StateItem& item : e.items) image.apply(item);
+              epoch_ = std::max(epoch_, image.epoch);
+              epoch_version_ = image.epoch_version;
+              claim(lease, granted);
+            },
+            true);
+      },
+      true);
+}
+
+// One transaction takes the lease's key and raises the epoch.
+void Core::claim(std::uint64_t lease, Time granted) {
+  const std::uint64_t term = term_;
+  const std::uint64_t epoch = epoch_ + 1;
+  const std::string value = encode_leader({settings_.name, epoch, nonce_});
+  StateCall txn;
+  txn.kind = StateCall::Kind::Txn;
+  txn.conditions = {{kLeaderKey, 0}, {kEpochKey, epoch_version_}};
+  txn.puts = {{kLeaderKey, value, lease}, {kEpochKey, value, 0}};
+  write_budget_.take(2);
+  call_state(
+      txn,
+      [this, term, lease, granted, epoch](const StateReply& r) {
+        if (term != term_) return;
+        if (r.status != 200) {
+          // Without an answer it may still be carried out, even late. Giving the lease back first
+          // makes it fail whenever it arrives.
+          StateCall revoke;
+          revoke.kind = StateCall::Kind::Revoke;
+          revoke.lease = lease;
+          call_state(revoke, [](const StateReply&) {}, true);
+          return step_down(r.status == 409 ? "another was first" : "claim not answered");
+        }
+        epoch_ = epoch;
+        epoch_version_ = r.revision;
+        lease_ = lease;
+        const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
+        lease_deadline_ = granted + ttl - ttl / 500 - 20;
+        next_renew_ = granted + ttl / kRenewalsPerLease;
+        renewing_ = false;
+        role_ = Role::Loading;
+        led_since_ = clock_.now;
+        leader_name_ = settings_.name;
+        log(Log::Level::Info, "event=elected");
+        image_ = Image{};
+        image_loaded_ = false;
+        load("", 0);
+      },
+      true);
+}
+
+// Reads the whole checkpoint. Nobody else can change it any more: the epoch is ours.
+void Core::load(std::string from, std::uint64_t revision) {
+  const std::uint64_t term = term_;
+  StateCall list;
+  list.kind = StateCall::Kind::List;
+  list.key = kPrefix;
+  list.from = from;
+  call_state(
+      list,
+      [this, term, from, revision](const StateReply& r) {
+        if (term != term_) return;
+        if (r.status != 200) {
+          if (clock_.now >= lease_deadline_) return step_down("checkpoint not readable in time");
+          return load(from, revision);
+        }
+        for (const StateItem& item : r.items) image_.apply(item);
+        if (r.more && !r.items.empty()) return load(r.items.back().key, r.revision);
+        begin_rebuild();
+      },
+      true);
+}
+
+void Core::renew() {
+  const std::uint64_t term = term_;
+  const Time sent = clock_.now;
+  const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
+  next_renew_ = sent + ttl / kRenewalsPerLease;
+  renewing_ = true;
+  StateCall call;
+  call.kind = StateCall::Kind::Renew;
+  call.lease = lease_;
+  call_state(
+      call,
+      [this, term, sent, ttl](const StateReply& r) {
+        if (term != term_) return;
+        renewing_ = false;
+        if (r.status == 404) return step_down("lease ended");
+        if (r.status != 200) {
+          next_renew_ = std::max(next_renew_, clock_.now + ttl / (kRenewalsPerLease * 4));
+          return;
+        }
+        // Reckoned from before the request left: that is when the service can have begun to count.
+        const bool lapsed = clock_.now >= lease_deadline_;
+        lease_deadline_ = std::max(lease_deadline_, sent + ttl - ttl / 500 - 20);
+        if (lapsed && in_command(clock_.now)) {
+          // Renewed after all: the service hadn't ended it, so nobody else can have had it.
+          log(Log::Level::Info, "event=lease_regained");
+          placement_dirty_ = true;
+        }
+      },
+      true);
+}
+
+void Core::step_down(const char* why) {
+  log(Log::Level::Info, "event=stepped_down role=", static_cast<int>(role_), " cause=\"", why, "\"");
+  ++term_;
+  const bool led = role_ == Role::Leader;
+  role_ = Role::Follower;
+  renewing_ = watching_ = false;
+  campaign_at_ = kNever;
+  watch_retry_ = clock_.now + 20 + static_cast<Time>(random_(60));
+  leader_name_.clear();
+  image_ = Image{};
+  image_loaded_ = refreshing_ = false;
+  lookups_.insert(lookups_.end(), lookups_served_.begin(), lookups_served_.end());
+  lookups_served_.clear();
+  if (!led) return;
+  for (const Waiter& w : round_.waiters) refuse(w.origin, "leadership lost");
+  for (const Waiter& w : waiting_next_) refuse(w.origin, "leadership lost");
+  waiting_next_.clear();
+  round_ = Round{};
+  round_open_ = false;
+  round_retry_ = kNever;
+  finished_next_.clear();
+  tail_.clear();
+  dirty_jobs_.clear();
+  dirty_machine_shards_.clear();
+  rentals_dirty_ = false;
+  shards_.clear();
+  shard_of_.clear();
+  rentals_.clear();
+  release_queue_.clear();
+  refused_.clear();
+  unmet_.clear();
+  guaranteed_.clear();
+  claims_.clear();
+  worker_calls_.clear();
+  cloud_calls_.clear();
+  releasing_ = listing_ = false;
+  rebuilding_ = false;
+  tables_.clear();
+  send_beats();
+}
+
+void Core::peer_beat(std::size_t sibling, const PeerBeat& beat) {
+  SiblingView& v = sibling_views_[sibling];
+  v.heard = clock_.now;
+  v.leading = beat.leading;
+  v.epoch = beat.epoch;
+  if (role_ == Role::Leader && beat.leading && beat.epoch > epoch_)
+    step_down("a sibling leads under a higher epoch");
+  else if (role_ == Role::Follower)
+    epoch_ = std::max(epoch_, beat.epoch);
+}
+
+void Core::send_beats() {
+  next_beat_ = clock_.now + worker_lease() / 30;
+  const bool leading = in_command(clock_.now);
+  for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
+    PeerMessage m;
+    m.kind = PeerMessage::Kind::Beat;
+    m.beat = {settings_.name, epoch_, leading};
+    out_.push_back(SendPeer{i, std::move(m)});
+  }
+}
+
+int Core::leader_sibling() const {
+  int best = -1;
+  for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
+    const SiblingView& v = sibling_views_[i];
+    if (v.leading && clock_.now - v.heard < worker_lease() / 8 &&
+        (best < 0 || v.epoch > sibling_views_[static_cast<std::size_t>(best)].epoch))
+      best = static_cast<int>(i);
+  }
+  return best;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/intake.cpp
@@ -0,0 +1,236 @@
+// Users' requests: the leader takes them in; the others hand them on, or read the state service.
+#include "coordination/core.hpp"
+#include "protocol/user_codec.hpp"
+
+namespace sailreel {
+namespace {
+/// Users wait 2 s for a poll's answer; a forwarded request must leave time for a second way.
+constexpr Time kForwardMs = 700;
+constexpr Time kLookupMs = 1'900;
+/// A submission is given 5 s by its user, and a commit may take a retry.
+constexpr Time kForwardCommitMs = 3'000;
+constexpr Time kRefreshEveryMs = 200;
+constexpr std::size_t kMaxForwarded = 2'000;
+constexpr std::size_t kMaxWaiting = 2'000;
+}  // namespace
+
+void Core::user_request(const UserRequest& r) {
+  if (in_command(clock_.now)) {
+    if (r.op == UserOp::Submit) return lead_submit(r);
+    if (r.op == UserOp::Query) return lead_query(r);
+    if (r.op == UserOp::Cancel) return lead_cancel(r);
+    return;
+  }
+  const int sibling = leader_sibling();
+  // A request is handed on once only: two nodes that take each other for the leader must not play
+  // ball with it.
+  if (sibling >= 0 && r.origin.kind == Origin::Kind::Local && forwarded_.size() < kMaxForwarded)
+    return forward(r.origin, r.op, r.id, r.body, static_cast<std::size_t>(sibling));
+  if (r.op == UserOp::Query && r.origin.kind == Origin::Kind::Local)
+    return look_up(r.origin, r.id);
+  refuse(r.origin, "no leader");
+}
+
+JobView Core::view(const Job& job) const {
+  JobView v{job.spec().id, job.committed_phase, 0, 0};
+  if (v.phase == Phase::Active) {
+    v.done = job.record.done.count();
+    v.running = job.running;
+  }
+  return v;
+}
+
+JobView Core::view(const std::string& id, const FinishedJob& job) const {
+  return {id, job.phase, job.phase == Phase::Done ? job.tasks : 0, 0};
+}
+
+void Core::answer_job(const Origin& origin, int status, const JobView& view) {
+  answer(origin, status, encode_job(view), 0, command_until());
+}
+
+void Core::lead_submit(const UserRequest& r) {
+  // A repeat is known by its id, before anything else in it is judged.
+  const auto id = submission_id(r.body);
+  if (id) {
+    if (const auto f = tables_.finished.find(*id); f != tables_.finished.end())
+      return answer_job(r.origin, 200, view(*id, f->second));
+    if (const Job* job = tables_.job(*id)) {
+      if (job->committed) return answer_job(r.origin, 200, view(*job));
+      return after_commit({r.origin, 200, *id});
+    }
+  }
+  std::string error;
+  auto spec = decode_submission(r.body, error);
+  if (!spec) return answer(r.origin, 400, encode_error("invalid: " + error));
+  if (tables_.types.empty()) return refuse(r.origin, "machine types not known yet");
+  if (never_fits(*spec, error)) return answer(r.origin, 422, encode_error(error));
+  if (waiting_next_.size() + round_.waiters.size() > kMaxWaiting)
+    return refuse(r.origin, "too many submissions at once");
+  JobRecord record;
+  record.spec = std::move(*spec);
+  record.submitted_wall_ms = clock_.wall_ms;
+  Job& job = tables_.add_job(std::move(record));
+  job.accepted = clock_.now;
+  touch(job);
+  after_commit({r.origin, 201, job.spec().id});
+  log(Log::Level::Info, "event=submitted job=", job.spec().id, " class=", job.spec().job_class,
+      " team=", job.spec().team, " tasks=", job.spec().tasks);
+}
+
+void Core::lead_query(const UserRequest& r) {
+  if (const auto f = tables_.finished.find(r.id); f != tables_.finished.end())
+    return answer_job(r.origin, 200, view(r.id, f->second));
+  if (const Job* job = tables_.job(r.id)) {
+    if (job->committed) return answer_job(r.origin, 200, view(*job));
+    return after_commit({r.origin, 200, r.id});
+  }
+  answer(r.origin, 404, encode_error("no such job"), 0, command_until());
+}
+
+void Core::lead_cancel(const UserRequest& r) {
+  if (const auto f = tables_.finished.find(r.id); f != tables_.finished.end())
+    return answer_job(r.origin, 200, view(r.id, f->second));
+  Job* job = tables_.job(r.id);
+  if (job == nullptr)
+    return answer(r.origin, 404, encode_error("no such job"), 0, command_until());
+  if (job->active()) {
+    // Whichever of done and cancelled is written first stands.
+    job->record.phase = Phase::Cancelled;
+    touch(*job);
+    stop_job(*job);
+    settle_job(*job);
+    placement_dirty_ = true;
+    log(Log::Level::Info, "event=cancelled job=", r.id);
+  }
+  after_commit({r.origin, 200, r.id});
+}
+
+void Core::forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
+                   std::size_t sibling) {
+  const std::uint64_t call = next_forward_++;
+  const bool commits = op == UserOp::Submit || op == UserOp::Cancel;
+  forwarded_[call] = {origin, op, id, sibling,
+                      clock_.now + (commits ? kForwardCommitMs : kForwardMs)};
+  PeerMessage m;
+  m.kind = PeerMessage::Kind::Request;
+  m.request = {call, op, id, std::move(body)};
+  out_.push_back(SendPeer{sibling, std::move(m)});
+}
+
+void Core::peer_answer(std::size_t, const PeerAnswer& a) {
+  const auto node = forwarded_.extract(a.call);
+  if (!node) return;
+  const Forwarded& f = node.mapped();
+  if (a.status == 503 && f.op == UserOp::Query) return look_up(f.origin, f.id);
+  answer(f.origin, a.status, a.body, a.retry_after_s);
+}
+
+void Core::intake_tick() {
+  const Time now = clock_.now;
+  std::vector<std::uint64_t> over;
+  for (const auto& [call, f] : forwarded_)
+    if (now >= f.until) over.push_back(call);
+  for (const std::uint64_t call : over) {
+    const Forwarded f = std::move(forwarded_.extract(call).mapped());
+    if (f.op == UserOp::Query)
+      look_up(f.origin, f.id);
+    else
+      refuse(f.origin, "the leader does not answer");
+  }
+  for (auto* list : {&lookups_, &lookups_served_})
+    std::erase_if(*list, [&](const Lookup& l) {
+      if (now - l.since < kLookupMs) return false;
+      refuse(l.origin, "state not readable");
+      return true;
+    });
+  if (!lookups_.empty() && !refreshing_ && now >= next_refresh_) refresh();
+  if (turned_away_.size() > 4096) turned_away_.clear();
+}
+
+void Core::look_up(const Origin& origin, const std::string& id) {
+  // A candidate may be about to lead, and reads the checkpoint for itself.
+  lookups_.push_back({origin, id, clock_.now});
+  if (!refreshing_ && clock_.now >= next_refresh_) refresh();
+}
+
+// Brings the image up to the present revision, then answers whoever asked before that began.
+void Core::refresh() {
+  if (role_ == Role::Leader || role_ == Role::Loading) {
+    // Asked while lapsed or loading: the answer comes from our own tables once we command.
+    if (!in_command(clock_.now)) return;
+    auto asked = std::move(lookups_);
+    lookups_.clear();
+    for (const Lookup& l : asked) lead_query({l.origin, UserOp::Query, l.id, {}});
+    return;
+  }
+  refreshing_ = true;
+  lookups_served_ = std::move(lookups_);
+  lookups_.clear();
+  next_refresh_ = clock_.now + kRefreshEveryMs;
+  if (!image_loaded_) {
+    image_ = Image{};
+    return refresh_list("", 0);
+  }
+  const std::uint64_t term = term_;
+  StateCall watch;
+  watch.kind = StateCall::Kind::Watch;
+  watch.key = kPrefix;
+  watch.revision = image_revision_;
+  watch.wait_ms = 0;
+  const bool sent = call_state(watch, [this, term](const StateReply& r) {
+    if (term != term_) return;
+    if (r.status == 410) image_loaded_ = false;
+    if (r.status == 200) {
+      for (const StateItem& item : r.items) image_.apply(item);
+      image_revision_ = std::max(image_revision_, r.revision);
+    }
+    finish_lookups(r.status == 200);
+  });
+  if (!sent) finish_lookups(false);
+}
+
+void Core::refresh_list(std::string from, std::uint64_t revision) {
+  const std::uint64_t term = term_;
+  StateCall list;
+  list.kind = StateCall::Kind::List;
+  list.key = kPrefix;
+  list.from = from;
+  const bool sent = call_state(list, [this, term, revision](const StateReply& r) {
+    if (term != term_) return;
+    if (r.status != 200) return finish_lookups(false);
+    for (const StateItem& item : r.items) image_.apply(item);
+    // Later pages may be newer than the first; changes since the first are read again by the next
+    // refresh, and records carry their own sequence.
+    const std::uint64_t first = revision == 0 ? r.revision : revision;
+    if (r.more && !r.items.empty()) return refresh_list(r.items.back().key, first);
+    image_loaded_ = true;
+    image_revision_ = first;
+    finish_lookups(true);
+  });
+  if (!sent) finish_lookups(false);
+}
+
+void Core::finish_lookups(bool ok) {
+  refreshing_ = false;
+  if (ok) last_path_ = clock_.now;
+  const auto served = std::move(lookups_served_);
+  lookups_served_.clear();
+  for (const Lookup& l : served) {
+    if (!ok) {
+      refuse(l.origin, "state not readable");
+      continue;
+    }
+    const auto it = image_.jobs.find(l.id);
+    if (it == image_.jobs.end()) {
+      answer(l.origin, 404, encode_error("no such job"));
+      continue;
+    }
+    const JobRecord& r = it->second;
+    const std::uint64_t done = r.phase == Phase::Done     ? r.spec.tasks
+                               : r.phase == Phase::Active ? r.done.count()
+                                                          : 0;
+    answer(l.origin, 200, encode_job({l.id, r.phase, done, 0}));
+  }
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/placement.cpp
@@ -0,0 +1,181 @@
+// What runs where: the machine that holds the image, else the roomiest fit, in the named zone.
+#include "coordination/core.hpp"
+
+namespace sailreel {
+namespace {
+/// Reports bunch up; one pass serves those that arrive within this share of a report's interval.
+constexpr Time kPassesPerReport = 40;
+constexpr std::size_t kMaxUnmetKinds = 64;
+}  // namespace
+
+bool Core::usable(const Machine& m) const {
+  return m.reported && m.sized && !m.draining && !m.releasing && !m.silent;
+}
+
+bool Core::never_fits(const JobSpec& s, std::string& why) const {
+  const TeamBook* team = nullptr;
+  for (const TeamBook& t : tables_.teams)
+    if (t.limits.name == s.team) team = &t;
+  if (team == nullptr) {
+    why = "unknown team";
+    return true;
+  }
+  const double n = s.kind == JobKind::Service ? s.tasks : 1;
+  constexpr double kSlack = 1e-6;
+  if ((team->limits.gpus_max > 0 && s.need.gpus * n > team->limits.gpus_max + kSlack) ||
+      (team->limits.cpus_max > 0 && s.need.cpus * n > team->limits.cpus_max + kSlack)) {
+    why = "more than the team's limit";
+    return true;
+  }
+  for (const MachineType& t : tables_.types) {
+    if (!tables_.type_allowed(s, t.name) || !s.need.fits_in(t.size)) continue;
+    if (s.zone.empty() || t.zones.empty() ||
+        std::find(t.zones.begin(), t.zones.end(), s.zone) != t.zones.end())
+      return false;
+  }
+  why = "a task fits no allowed machine type";
+  return true;
+}
+
+// Which jobs fit, with their team's earlier unfinished ones, into the team's guarantee.
+void Core::note_guarantees() {
+  std::vector<Job*> jobs;
+  for (auto& [id, job] : tables_.jobs)
+    if (job->active()) jobs.push_back(job.get());
+  std::sort(jobs.begin(), jobs.end(), [](const Job* a, const Job* b) { return a->order < b->order; });
+  std::unordered_map<std::string, Resources> totals;
+  for (const Job* job : jobs) {
+    Resources& total = totals[job->spec().team];
+    const double left = static_cast<double>(job->spec().tasks - job->record.done.count());
+    total += {job->spec().need.cpus * left, job->spec().need.gpus * left, 0};
+    const TeamBook* team = tables_.team(job->spec().team);
+    guaranteed_[job->spec().id] = team != nullptr && team->within_guarantee(total);
+  }
+}
+
+// The jobs of one priority that have tasks to place: a queue for each team, the guaranteed first.
+std::vector<Job*> Core::queue_order(Priority priority) {
+  std::vector<Job*> jobs;
+  for (auto& [id, job] : tables_.jobs)
+    if (job->active() && job->queued > 0 && job->spec().priority == priority &&
+        job->not_before <= clock_.now)
+      jobs.push_back(job.get());
+  const auto due = [](const Job* j) {
+    return j->spec().deadline_s ? j->accepted + ms(*j->spec().deadline_s) : kNever;
+  };
+  std::sort(jobs.begin(), jobs.end(), [&](const Job* a, const Job* b) {
+    const bool ga = guaranteed_[a->spec().id], gb = guaranteed_[b->spec().id];
+    if (ga != gb) return ga;
+    if (due(a) != due(b)) return due(a) < due(b);
+    return a->order < b->order;
+  });
+  return jobs;
+}
+
+void Core::place_all() {
+  placement_dirty_ = false;
+  const Time now = clock_.now;
+  next_placement_ = now + std::max<Time>(10, report_interval() / kPassesPerReport);
+  claims_.clear();
+  unmet_.clear();
+  note_guarantees();
+  for (std::size_t p = 0; p < kPriorities; ++p) {
+    std::map<TeamBook*, std::vector<Job*>> queues;
+    for (Job* job : queue_order(static_cast<Priority>(p)))
+      queues[tables_.team(job->spec().team)].push_back(job);
+    for (auto& [team, queue] : queues) std::reverse(queue.begin(), queue.end());
+    // In turn: whose team uses least of its share is served next.
+    while (!queues.empty()) {
+      auto next = std::min_element(queues.begin(), queues.end(), [](const auto& a, const auto& b) {
+        return a.first->share() < b.first->share();
+      });
+      Job* job = next->second.back();
+      next->second.pop_back();
+      if (next->second.empty()) queues.erase(next);
+      place_job(*job);
+    }
+  }
+}
+
+bool Core::place_job(Job& job) {
+  const Time now = clock_.now;
+  TeamBook* team = tables_.team(job.spec().team);
+  std::uint32_t left = 0;
+  for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
+    Task& task = job.tasks[i];
+    if (task.state != TaskState::Queued) {
+      if (i == job.next_queued) ++job.next_queued;
+      continue;
+    }
+    if (task.not_before > now) {
+      placement_dirty_ = true;  // looked at again by a later pass
+      continue;
+    }
+    if (team == nullptr || !team->allows(job.spec().need)) return false;
+    Machine* m = choose(job);
+    if (m == nullptr) {
+      left = job.queued;
+      break;
+    }
+    tables_.place(job, i, *m, (epoch_ << 24) + next_attempt_++, now);
+    m->idle_since = 0;
+    if (!job.record.started) {
+      job.record.started = true;
+      touch(job);
+    }
+  }
+  if (left == 0) return true;
+  // What the team's limit allows beyond what it has is what more machines could serve.
+  const Resources& need = job.spec().need;
+  std::uint32_t wanted = left;
+  if (team->limits.gpus_max > 0 && need.gpus > 0)
+    wanted = std::min<std::uint32_t>(
+        wanted, static_cast<std::uint32_t>((team->limits.gpus_max - team->used.gpus) / need.gpus));
+  if (unmet_.size() < kMaxUnmetKinds && wanted > 0) {
+    Unmet u;
+    u.total = {need.cpus * wanted, need.gpus * wanted, need.memory_gb * wanted};
+    u.each = need;
+    u.tasks = wanted;
+    u.spot = job.spec().spot;
+    u.zone = job.spec().zone;
+    u.any_type = job.spec().any_type;
+    u.types = job.spec().types;
+    unmet_.push_back(std::move(u));
+  }
+  for (std::uint32_t i = 0; i < left && make_room(job); ++i) {
+  }
+  return false;
+}
+
+Machine* Core::choose(const Job& job) {
+  const JobSpec& s = job.spec();
+  Machine* best = nullptr;
+  std::array<double, 5> best_score{};
+  for (auto& [name, ptr] : tables_.machines) {
+    Machine& m = *ptr;
+    if (!usable(m) || claims_.contains(&m)) continue;
+    const Resources room = m.room();
+    if (!s.need.fits_in(room) || !tables_.allowed(job, m)) continue;
+    const double same = static_cast<double>(
+        std::count_if(m.placements.begin(), m.placements.end(),
+                      [&](const Placement& p) { return p.job == &job && p.held; }));
+    const double image = m.has_image(s.image) ? 0 : m.fetching(s.image) ? 1 : 2;
+    const double failed = job.error_machines.contains(name) ? 1 : 0;
+    // Work that may use cheap machines leaves the ordinary ones to work that may not.
+    const double dear = s.spot && !m.spot ? 1 : 0;
+    // Replicas of a service keep apart, so that a machine's end takes few of them.
+    const double together = s.kind == JobKind::Service ? same : 0;
+    // Among holders the fullest, so that machines empty out; otherwise the roomiest, and of these
+    // the one that is busy with the fewest fetches, as they share its rate.
+    const double fill = image < 2 ? room.gpus + room.cpus / 1000
+                                  : static_cast<double>(m.fetches()) * 100 - room.gpus;
+    const std::array<double, 5> score{failed, dear, image, together, fill};
+    if (best == nullptr || score < best_score) {
+      best = &m;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/preemption.cpp
@@ -0,0 +1,96 @@
+// Stopping tasks: to make room for more important ones, or because their job is cancelled.
+#include "coordination/core.hpp"
+
+namespace sailreel {
+
+double Core::grace_for(const Job& job) const {
+  const JobSpec& s = job.spec();
+  // A little above what the task needs: what is short of it saves nothing.
+  return s.checkpoint_s > 0 ? s.save_s * 1.1 + 0.1 : 0;
+}
+
+void Core::stop_task(Placement& p, double grace_s) {
+  // A second stop may only shorten: that ends a task that is saving.
+  p.grace_s = p.stop ? std::min(p.grace_s, grace_s) : grace_s;
+  p.stop = true;
+}
+
+// Stops all of a job's tasks. Starts that haven't left are dropped; those that have are stopped in
+// the next answer to their worker, which comes after the start was carried out or dropped.
+void Core::stop_job(Job& job) {
+  for (auto& [name, m] : tables_.machines)
+    for (std::size_t i = m->placements.size(); i-- > 0;) {
+      Placement& p = m->placements[i];
+      if (p.job != &job || !p.held) continue;
+      if (p.state == PlaceState::Reserved)
+        tables_.erase(*m, i);
+      else
+        stop_task(p, 0);
+    }
+}
+
+// Lower priority gives way; so does what another team runs beyond its guarantee to a team that is
+// within its own. Work never gives way to work of the same priority otherwise.
+bool Core::may_stop(const Job& job, const Placement& p) const {
+  if (!p.held || p.job == nullptr || p.stop || p.job == &job) return false;
+  const JobSpec& victim = p.job->spec();
+  if (victim.priority > job.spec().priority) return true;
+  if (victim.team == job.spec().team || victim.priority < job.spec().priority) return false;
+  const auto mine = guaranteed_.find(job.spec().id);
+  const auto its = guaranteed_.find(victim.id);
+  if (mine == guaranteed_.end() || !mine->second || its == guaranteed_.end() || its->second)
+    return false;
+  // Only as much as the other team has beyond its guarantee.
+  return p.team != nullptr && !p.team->within_guarantee(p.team->used);
+}
+
+// Promises room for one more task of the job on some machine, stopping others there if need be.
+bool Core::make_room(const Job& job) {
+  const JobSpec& s = job.spec();
+  Machine* best = nullptr;
+  std::vector<Placement*> best_victims;
+  double best_cost = 0;
+  for (auto& [name, ptr] : tables_.machines) {
+    Machine& m = *ptr;
+    if (!usable(m) || !tables_.allowed(job, m)) continue;
+    Resources room = m.room();
+    if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
+    for (const Placement& p : m.placements)
+      if (p.held && p.stop) room += p.need;
+    std::vector<Placement*> victims;
+    double cost = m.has_image(s.image) ? 0 : 1;
+    if (!s.need.fits_in(room)) {
+      std::vector<Placement*> candidates;
+      for (Placement& p : m.placements)
+        if (may_stop(job, p)) candidates.push_back(&p);
+      // The least important first, and of these what has run shortest.
+      std::sort(candidates.begin(), candidates.end(), [](const Placement* a, const Placement* b) {
+        if (a->job->spec().priority != b->job->spec().priority)
+          return a->job->spec().priority > b->job->spec().priority;
+        return a->running_since > b->running_since;
+      });
+      for (Placement* p : candidates) {
+        if (s.need.fits_in(room)) break;
+        room += p->need;
+        victims.push_back(p);
+        cost += 2;
+      }
+      if (!s.need.fits_in(room)) continue;
+    }
+    if (best == nullptr || cost < best_cost) {
+      best = &m;
+      best_cost = cost;
+      best_victims = std::move(victims);
+    }
+  }
+  if (best == nullptr) return false;
+  claims_[best] += s.need;
+  for (Placement* p : best_victims) {
+    log(Log::Level::Info, "event=preempt machine=", best->name, " task=", p->key.job, "/",
+        p->key.index, " for=", s.id);
+    stop_task(*p, grace_for(*p->job));
+  }
+  return true;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/rebuild.cpp
@@ -0,0 +1,141 @@
+// What a new leader does before it places anything that may already run.
+#include "coordination/core.hpp"
+#include "protocol/worker_codec.hpp"
+
+namespace sailreel {
+
+void Core::begin_rebuild() {
+  role_ = Role::Leader;
+  const Time now = clock_.now;
+  fence_at_ = led_since_ + surely(report_grace() + worker_lease());
+  rebuilding_ = true;
+  next_attempt_ = 1;
+  next_rental_ = 1;
+  Image image = std::move(image_);
+  image_ = Image{};
+  if (image.unreadable > 0)
+    log(Log::Level::Error, "event=checkpoint_unreadable values=", image.unreadable);
+
+  tables_.clear();
+  head_seq_ = image.head.seq;
+  head_version_ = image.head_version;
+  for (const auto& [key, digits] : image.pieces)
+    if (const auto it = image.jobs.find(key.first);
+        it != image.jobs.end() && it->second.done.size() > 0)
+      it->second.done.merge_hex(key.second * kPieceBits, digits);
+  // Jobs in the order in which they were submitted: that is their order in their team's queue.
+  std::vector<JobRecord*> records;
+  for (auto& [id, record] : image.jobs) {
+    if (record.final)
+      tables_.finished[id] = {record.phase, record.spec.tasks, record.seq};
+    else
+      records.push_back(&record);
+  }
+  std::sort(records.begin(), records.end(), [](const JobRecord* a, const JobRecord* b) {
+    return std::pair(a->submitted_wall_ms, a->spec.id) < std::pair(b->submitted_wall_ms, b->spec.id);
+  });
+  shards_.clear();
+  shard_of_.clear();
+  for (const auto& [id, shard] : image.shard_of) {
+    if (shards_.size() <= shard) shards_.resize(shard + 1);
+    const JobRecord& r = image.jobs.at(id);
+    const std::size_t reserve = r.final ? 48 : encode_record(r).size() + 24;
+    shards_[shard].ids.insert(id);
+    shards_[shard].reserved += reserve;
+    shard_of_[id] = {shard, reserve};
+  }
+  tail_.clear();
+  for (const std::string& id : image.in_head) tail_[id] = encode_record(image.jobs.at(id));
+
+  for (JobRecord* record : records) {
+    const std::uint64_t seq = record->seq;
+    Job& job = tables_.add_job(std::move(*record));
+    job.record.seq = seq;
+    job.committed = true;
+    job.committed_phase = job.record.phase;
+    job.started = job.record.started;
+    // Where its time since submission can be told, it is; the time of day may be off a little.
+    job.accepted = now - std::max<Time>(0, clock_.wall_ms - job.record.submitted_wall_ms);
+    // What was never started is nowhere, and needs no wait.
+    if (!job.started) continue;
+    TeamBook* team = tables_.team(job.spec().team);
+    for (Task& t : job.tasks)
+      if (t.state == TaskState::Queued) {
+        t.state = TaskState::Unknown;
+        --job.queued;
+        ++job.unknown;
+        if (team != nullptr) team->used += job.spec().need;
+      }
+  }
+  for (const RentalRequest& r : image.head.rentals)
+    rentals_[r.request] = {r, true, false, now, now};
+  for (const auto& [shard, list] : image.machines)
+    for (const MachineRecord& r : list) {
+      Machine& m = tables_.add_machine(r.name, now);
+      m.address = r.address;
+      m.recorded = true;
+      m.heard = now;
+      m.answered = now;
+    }
+  released_.clear();
+  next_types_ = next_list_ = next_sizing_ = now;
+  // Written at once, so that the head carries the new epoch before anything depends on it.
+  rentals_dirty_ = true;
+  log(Log::Level::Info, "event=leading jobs=", tables_.jobs.size(),
+      " finished=", tables_.finished.size(), " machines=", tables_.machines.size(),
+      " after_ms=", now - led_since_);
+  send_beats();
+  rebuild_tick();
+}
+
+// The rebuild is over once every machine that may hold tasks has been heard under our token, or
+// can't hold any more. Asking them takes milliseconds; the design's wait of one round stays as the
+// bound for those that don't answer.
+void Core::rebuild_tick() {
+  if (!rebuilding_ || !in_command(clock_.now)) return;
+  const Time now = clock_.now;
+  std::uint64_t missing = 0;
+  for (auto& [name, m] : tables_.machines) {
+    if (!m->recorded || m->reported) continue;
+    if (now >= expiry(*m)) continue;
+    ++missing;
+    if (!m->probing && now >= m->probe_at) inquire(*m);
+  }
+  if (missing > 0) return;
+  rebuilding_ = false;
+  for (auto& [id, job] : tables_.jobs) {
+    tables_.unknown_to_queued(*job);
+    settle_job(*job);
+  }
+  placement_dirty_ = true;
+  log(Log::Level::Info, "event=rebuilt after_ms=", now - led_since_);
+}
+
+// Fences a worker and brings its report. Without orders, it does no harm however late it arrives.
+void Core::inquire(Machine& m) {
+  if (m.address.empty()) return;
+  m.probing = true;
+  const std::string name = m.name;
+  const Time sent = clock_.now;
+  call_worker(m.address, encode_direct(epoch_, m.probe_session, {}),
+              [this, name, sent](int status, const std::optional<Report>& report) {
+                Machine* machine = tables_.machine(name);
+                if (machine == nullptr) return;
+                machine->probing = false;
+                machine->probe_at = std::max(clock_.now, sent + report_interval() / 2);
+                if (!report || report->machine != name) {
+                  if (status == 0) ++machine->probe_failures;
+                  return;
+                }
+                machine->probe_failures = 0;
+                if (report->token > epoch_) return step_down("a worker has seen a higher token");
+                if (status == 200) {
+                  take_report(*report, true);
+                } else if (status == 409 && machine->probe_session != report->session) {
+                  machine->probe_session = report->session;
+                  inquire(*machine);
+                }
+              });
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/reports.cpp
@@ -0,0 +1,384 @@
+// Workers' reports: what they say of tasks, and when a task is surely gone.
+#include "coordination/core.hpp"
+#include "protocol/user_codec.hpp"
+#include "protocol/worker_codec.hpp"
+
+namespace sailreel {
+namespace {
+/// An answer to a worker has to stay below 64 KiB.
+constexpr std::size_t kMaxCommands = 300;
+/// A start that the worker's next report doesn't show was dropped. After so many, something is
+/// wrong between us and that machine.
+constexpr std::uint32_t kMaxSends = 3;
+constexpr std::size_t kFaultyJobs = 2;
+}  // namespace
+
+// How long a leader whose lease may have lapsed goes on answering reports, without commands. A
+// share of what cancel_s leaves beside a worker's lease: a successor may have confirmed a
+// cancellation meanwhile, and its tasks have to end in time even on a machine that only we reach.
+Time Core::report_grace() const {
+  return ms((settings_.workers.cancel_s - settings_.workers.lease_s) * 0.6);
+}
+
+// The moment by which the tasks on a machine have surely ended, unless it is answered again.
+Time Core::expiry(const Machine& m) const {
+  const Time ours = m.answered + surely(worker_lease());
+  // Until the worker has seen our token, a former leader's answers may still renew its lease.
+  return m.reported ? ours : std::max(ours, fence_at_);
+}
+
+void Core::worker_report(const WorkerReport& in) {
+  const Time now = clock_.now;
+  const Report& r = in.report;
+  if (role_ != Role::Leader) {
+    const int sibling = leader_sibling();
+    if (sibling < 0 || in.origin.kind == Origin::Kind::Peer)
+      return answer(in.origin, 503, encode_error("no leader"));
+    // A worker that comes back although it was sent to the leader can't reach it: its reports are
+    // handed on, so that a cut between two zones doesn't cost it its tasks.
+    auto& since = turned_away_[r.machine];
+    if (since != 0 && now - since < 2 * worker_lease()) {
+      since = now;
+      return forward(in.origin, UserOp::Report, {}, in.raw, static_cast<std::size_t>(sibling));
+    }
+    since = now;
+    return answer(in.origin, 421,
+                  encode_redirect(settings_.siblings[static_cast<std::size_t>(sibling)].name));
+  }
+  if (r.token > epoch_) {
+    step_down("a worker has seen a higher token");
+    return answer(in.origin, 421, encode_redirect({}));
+  }
+  if (!in_command(now)) {
+    // The worker's tasks live on for a bounded time while we can't tell whether we still lead.
+    if (now >= lease_deadline_ + report_grace())
+      return answer(in.origin, 503, encode_error("lease lapsed"));
+    if (Machine* m = tables_.machine(r.machine)) m->answered = now;
+    return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0,
+                  lease_deadline_ + report_grace());
+  }
+  if (released_.contains(r.machine))
+    return answer(in.origin, 503, encode_error("machine was returned"));
+  Machine* m = tables_.machine(r.machine);
+  if (r.token < epoch_) {
+    // Perhaps a copy from an earlier time. It learns our token; only what it reports under that
+    // counts.
+    if (m != nullptr) m->answered = now;
+    return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0, command_until());
+  }
+  if (!take_report(r, false)) return answer(in.origin, 503, encode_error("late report"));
+  m = tables_.machine(r.machine);
+  if (placement_dirty_ && now >= next_placement_) place_all();
+  m->answered = now;
+  const auto commands = commands_for(*m, r.seq);
+  answer(in.origin, 200, encode_report_answer(epoch_, commands), 0, command_until());
+}
+
+void Core::worker_answer(const WorkerAnswer& in) {
+  if (auto node = worker_calls_.extract(in.call)) node.mapped()(in.status, in.report);
+}
+
+bool Core::take_report(const Report& r, bool direct) {
+  const Time now = clock_.now;
+  Machine& m = tables_.add_machine(r.machine, now);
+  if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return false;
+  if (!m.reported) {
+    m.zone = r.zone;
+    m.type = r.type;
+    m.spot = r.spot;
+    m.idle_since = now;
+    log(Log::Level::Info, "event=machine_up machine=", m.name, " zone=", m.zone,
+        " spot=", m.spot ? 1 : 0, " session=", r.session, " tasks=", r.tasks.size(),
+        " after_ms=", now - m.rented);
+    placement_dirty_ = true;
+  } else if (r.session > m.session) {
+    ++m.lapses;
+    session_lost(m, "new session");
+  }
+  if (m.address != r.address) {
+    m.address = r.address;
+    if (m.recorded) dirty_machine_shards_.insert(machine_shard(m.name));
+  }
+  if (!m.recorded && !m.record_dirty) {
+    m.record_dirty = true;
+    dirty_machine_shards_.insert(machine_shard(m.name));
+  }
+  tables_.size_machine(m);
+  m.reported = true;
+  m.session = m.probe_session = r.session;
+  m.seq = r.seq;
+  m.heard = now;
+  m.silent = false;
+  m.probe_failures = 0;
+  // An answer to an inquiry renews no lease; but what the worker has at least is unknown to us
+  // when we have only just met it.
+  if (m.answered == 0) m.answered = now;
+
+  std::vector<bool> seen(m.placements.size(), false);
+  for (const ReportedTask& t : r.tasks) take_task(m, t, seen);
+  for (std::size_t i = seen.size(); i-- > 0;) {
+    if (seen[i]) continue;
+    Placement& p = m.placements[i];
+    if (p.state == PlaceState::Reserved) continue;
+    if (p.state == PlaceState::Sent) {
+      // A worker has one report in flight at a time, so its next one shows that the answer to the
+      // one before was carried out or dropped. A direct answer shows nothing of the kind.
+      if (direct || r.seq <= p.sent_seq) continue;
+      p.state = PlaceState::Reserved;
+      if (p.sends < kMaxSends) continue;
+      log(Log::Level::Info, "event=start_not_taken machine=", m.name, " task=", p.key.job, "/",
+          p.key.index);
+    } else if (p.state != PlaceState::Exited) {
+      log(Log::Level::Info, "event=task_vanished machine=", m.name, " task=", p.key.job, "/",
+          p.key.index, " attempt=", p.attempt);
+    }
+    Job* job = p.job;
+    tables_.erase(m, i);
+    placement_dirty_ = true;
+    if (job != nullptr) settle_job(*job);
+  }
+  if (r.notice_s && m.notice_until == 0) {
+    m.notice_until = now + ms(*r.notice_s);
+    drain(m, "notice");
+    for (Placement& p : m.placements)
+      if (p.held && p.job != nullptr && p.job->spec().checkpoint_s > 0)
+        stop_task(p, grace_for(*p.job));
+  }
+  if (m.empty() && m.idle_since == 0) m.idle_since = now;
+  if (!m.empty()) m.idle_since = 0;
+  return true;
+}
+
+void Core::session_lost(Machine& m, const char* why) {
+  if (m.placements.empty()) return;
+  log(Log::Level::Info, "event=tasks_gone machine=", m.name, " count=", m.placements.size(),
+      " cause=\"", why, "\"");
+  while (!m.placements.empty()) {
+    Job* job = m.placements.back().job;
+    tables_.erase(m, m.placements.size() - 1);
+    if (job != nullptr) settle_job(*job);
+  }
+  m.idle_since = clock_.now;
+  placement_dirty_ = true;
+}
+
+void Core::take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen) {
+  const Time now = clock_.now;
+  Placement* p = m.find(t.key, t.attempt);
+  if (p != nullptr) {
+    const auto i = static_cast<std::size_t>(p - m.placements.data());
+    if (i < seen.size()) seen[i] = true;
+  } else {
+    // Started by a former leader, or come back although we thought it gone.
+    Job* job = tables_.job(t.key.job);
+    const bool fits = job != nullptr && t.key.index < job->tasks.size();
+    const bool on_machine = t.state != RunState::Exited;
+    Task* task = fits ? &job->tasks[t.key.index] : nullptr;
+    if (fits && on_machine &&
+        (task->state == TaskState::Unknown || task->state == TaskState::Queued)) {
+      p = &tables_.place(*job, t.key.index, m, t.attempt, now);
+    } else {
+      Placement extra;
+      extra.key = t.key;
+      extra.attempt = t.attempt;
+      extra.since = now;
+      if (on_machine) {
+        extra.held = true;
+        if (fits) {
+          extra.need = job->spec().need;
+          extra.team = tables_.team(job->spec().team);
+          extra.team->used += extra.need;
+          m.used += extra.need;
+        }
+        log(Log::Level::Info, "event=stray_task machine=", m.name, " task=", t.key.job, "/",
+            t.key.index, " attempt=", t.attempt);
+      } else if (fits) {
+        extra.job = job;
+      }
+      extra.stop = on_machine;
+      m.placements.push_back(std::move(extra));
+      p = &m.placements.back();
+    }
+    // It was there before we knew of it: that its start was carried out needs no proof.
+    p->state = PlaceState::Sent;
+    if (fits && on_machine && !job->active()) p->stop = true;
+  }
+  if (p->state == PlaceState::Exited) return;
+  const PlaceState before = p->state;
+  const auto on = [](PlaceState s) { return s == PlaceState::Running || s == PlaceState::Saving; };
+  PlaceState after = before;
+  switch (t.state) {
+    case RunState::Fetching:
+      after = PlaceState::Fetching;
+      break;
+    case RunState::Running:
+      after = PlaceState::Running;
+      break;
+    case RunState::Saving:
+      after = PlaceState::Saving;
+      break;
+    case RunState::Exited:
+      p->cause = t.cause;
+      task_exited(m, *p);
+      return;
+  }
+  if (after == before) return;
+  p->state = after;
+  p->since = now;
+  if (p->job != nullptr && p->held && on(after) != on(before)) p->job->running += on(after) ? 1 : -1;
+  if (on(after) && !on(before)) {
+    p->running_since = now;
+    if (p->job != nullptr) m.touch_image(p->job->spec().image, p->job->spec().image_gb);
+    log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", t.key.job, "/",
+        t.key.index, " attempt=", t.attempt);
+  }
+}
+
+void Core::note_finished(Job& job, std::uint32_t index) {
+  if (job.spec().kind != JobKind::Array) return;
+  tables_.mark_done(job, index);
+  if (job.active() && job.record.done.count() == job.spec().tasks) job.record.phase = Phase::Done;
+  touch(job);
+  finished_next_.emplace_back(job.spec().id, index);
+}
+
+void Core::task_exited(Machine& m, Placement& p) {
+  const Time now = clock_.now;
+  Job* job = p.job;
+  const bool was_held = p.held;
+  const auto finish_hold = [&] {
+    if (was_held) tables_.unhold(m, p);
+    p.state = PlaceState::Exited;
+    p.since = now;
+  };
+  log(Log::Level::Debug, "event=task_exited machine=", m.name, " task=", p.key.job, "/", p.key.index,
+      " attempt=", p.attempt, " cause=", static_cast<int>(p.cause));
+  placement_dirty_ = true;
+  if (job == nullptr) {
+    finish_hold();
+    p.settled = true;
+    return;
+  }
+  Task& task = job->tasks[p.key.index];
+  if (p.cause == ExitCause::Done && job->spec().kind == JobKind::Array) {
+    if (task.state == TaskState::Done && !was_held) {
+      // Known already: either committed, or in a round to come that settles it.
+      p.settled = job->record.done.test(p.key.index) && !job->dirty;
+      if (!p.settled) finished_next_.emplace_back(job->spec().id, p.key.index);
+    } else {
+      note_finished(*job, p.key.index);
+      if (task.machine != nullptr && task.machine != &m)
+        for (Placement& other : task.machine->placements)
+          if (other.job == job && other.key.index == p.key.index && other.held)
+            stop_task(other, 0);
+    }
+    finish_hold();
+    settle_job(*job);
+    return;
+  }
+  p.settled = true;
+  switch (p.cause) {
+    case ExitCause::Error:
+      ++job->errors;
+      job->error_machines.insert(m.name);
+      m.error_jobs.insert(job->spec().id);
+      // A job submitted with a mistake fails everywhere; a faulty machine fails several jobs.
+      task.not_before = now + std::min<Time>(report_interval() * job->errors, worker_lease());
+      if (m.error_jobs.size() >= kFaultyJobs && !m.draining) drain(m, "faulty");
+      log(Log::Level::Info, "event=task_error machine=", m.name, " task=", p.key.job, "/",
+          p.key.index, " errors=", job->errors);
+      break;
+    case ExitCause::NoRoom:
+    case ExitCause::Busy:
+    case ExitCause::Unknown:
+      task.not_before = now + report_interval();
+      log(Log::Level::Info, "event=start_refused machine=", m.name, " task=", p.key.job, "/",
+          p.key.index, " cause=", static_cast<int>(p.cause));
+      break;
+    default:
+      break;
+  }
+  finish_hold();
+  settle_job(*job);
+}
+
+std::vector<Command> Core::commands_for(Machine& m, std::uint64_t report_seq) {
+  std::vector<Command> out;
+  // Stops and forgets come before starts: they make the room that the starts were promised.
+  for (std::size_t i = m.placements.size(); i-- > 0;) {
+    Placement& p = m.placements[i];
+    if (out.size() >= kMaxCommands) return out;
+    if (p.state == PlaceState::Exited) {
+      if (p.settled) out.push_back({Command::Op::Forget, p.key, p.attempt, 0});
+    } else if (p.stop) {
+      if (p.state == PlaceState::Reserved) {
+        Job* job = p.job;
+        tables_.erase(m, i);
+        if (job != nullptr) settle_job(*job);
+      } else if (p.state != PlaceState::Saving || p.grace_s <= 0) {
+        out.push_back({Command::Op::Stop, p.key, p.attempt, p.grace_s});
+      }
+    }
+  }
+  if (!m.recorded || !usable(m)) return out;
+  for (Placement& p : m.placements) {
+    if (out.size() >= kMaxCommands) break;
+    if (p.state != PlaceState::Reserved || p.job == nullptr || !p.job->active() ||
+        !p.job->committed || !p.job->started)
+      continue;
+    p.state = PlaceState::Sent;
+    p.sent_seq = report_seq;
+    ++p.sends;
+    p.since = clock_.now;
+    out.push_back({Command::Op::Start, p.key, p.attempt, 0});
+    log(Log::Level::Debug, "event=start machine=", m.name, " task=", p.key.job, "/", p.key.index,
+        " attempt=", p.attempt, " waited_ms=", clock_.now - p.job->accepted);
+  }
+  return out;
+}
+
+void Core::machine_tick() {
+  const Time now = clock_.now;
+  const Time silent_after = report_interval() * 5 / 2 + 500;
+  std::size_t silent = 0, up = 0;
+  for (const auto& [name, m] : tables_.machines) {
+    up += m->reported ? 1 : 0;
+    silent += m->silent ? 1 : 0;
+  }
+  std::vector<Machine*> gone;
+  for (auto& [name, ptr] : tables_.machines) {
+    Machine& m = *ptr;
+    if (!m.reported) {
+      if (m.recorded && m.listed_running && now >= expiry(m)) release(m, "not heard since take-over");
+      continue;
+    }
+    if (!m.silent && now - m.heard > silent_after) {
+      m.silent = true;
+      log(Log::Level::Info, "event=machine_silent machine=", m.name);
+    }
+    if (!m.silent) continue;
+    if (now >= expiry(m)) {
+      session_lost(m, "lease expired");
+      if (!m.releasing) release(m, "lease expired");
+      continue;
+    }
+    if (!in_command(now)) continue;
+    if (!m.probing && now >= m.probe_at) inquire(m);
+    // A machine that doesn't answer either way is most likely dead. Returning it proves that its
+    // tasks are gone, sooner than its lease would. When many fall silent at once, the fault is
+    // rather between us and them, and their leases are waited for.
+    if (m.probe_failures >= 2 && !m.releasing && silent <= std::max<std::size_t>(2, up / 10))
+      release(m, "silent");
+  }
+}
+
+void Core::machine_gone(Machine& m, const char* why) {
+  log(Log::Level::Info, "event=machine_gone machine=", m.name, " cause=\"", why, "\"");
+  session_lost(m, why);
+  if (m.recorded || m.record_dirty) dirty_machine_shards_.insert(machine_shard(m.name));
+  claims_.erase(&m);
+  placement_dirty_ = true;
+  tables_.machines.erase(std::string(m.name));
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/rounds.cpp
@@ -0,0 +1,356 @@
+// Rounds: one checkpoint transaction at a time; all that waits goes into the next.
+#include "coordination/core.hpp"
+#include "protocol/user_codec.hpp"
+
+namespace sailreel {
+namespace {
+/// Share of a value's limit that is used, so that a miscounted byte is no refused write.
+constexpr double kFill = 0.85;
+/// The head keeps the latest changes while they are few; then they move to their shards.
+constexpr double kHeadFill = 0.6;
+constexpr std::size_t kTxnBytes = 64 * 1024;
+constexpr std::size_t kFinalRecordBytes = 48;
+}  // namespace
+
+bool Core::round_needed() const {
+  return !dirty_jobs_.empty() || !dirty_machine_shards_.empty() || rentals_dirty_ ||
+         !waiting_next_.empty() || !finished_next_.empty();
+}
+
+void Core::maybe_commit() {
+  if (role_ != Role::Leader) return;
+  if (round_open_) {
+    if (clock_.now >= round_retry_) {
+      round_retry_ = kNever;
+      resolve_round();
+    }
+    return;
+  }
+  if (!in_command(clock_.now) || !round_needed()) return;
+  // Users who wait come first; what only tidies up leaves half of the budget to them.
+  const double reserve = waiting_next_.empty() ? settings_.store.write_rps * 0.3 : 2;
+  if (!write_budget_.has(reserve, clock_.now)) return;
+  if (!state_budget_.has(settings_.store.rps / 10, clock_.now)) return;
+  send_round();
+}
+
+std::string Core::record_text(Job& job, std::uint64_t seq) {
+  job.record.seq = seq;
+  return encode_record(job.record);
+}
+
+std::size_t Core::shard_for(const std::string& id, std::size_t reserve) {
+  const auto limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kFill);
+  if (const auto it = shard_of_.find(id); it != shard_of_.end()) return it->second.first;
+  std::size_t i = 0;
+  while (i < shards_.size() && shards_[i].reserved + reserve > limit) ++i;
+  if (i == shards_.size()) shards_.emplace_back();
+  shards_[i].ids.insert(id);
+  shards_[i].reserved += reserve;
+  shard_of_[id] = {i, reserve};
+  return i;
+}
+
+void Core::send_round() {
+  round_ = Round{};
+  Round& r = round_;
+  r.seq = head_seq_ + 1;
+  r.tail = tail_;
+  StateCall& txn = r.call;
+  txn.kind = StateCall::Kind::Txn;
+  txn.conditions = {{kEpochKey, epoch_version_}, {kHeadKey, head_version_}};
+  const std::size_t value_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024);
+  const auto head_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kHeadFill);
+  const auto hard_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kFill);
+  const std::size_t max_ops = settings_.store.txn_ops;
+  std::size_t ops = 1, bytes = 1024 + value_limit;  // the head, and the conditions
+  const auto room = [&](std::size_t more) {
+    return ops < max_ops && bytes + more + 256 <= kTxnBytes;
+  };
+
+  // The rentals lie in the head; what they take isn't there for jobs.
+  Head head{r.seq, epoch_, {}};
+  std::size_t tail_bytes = 64;
+  for (const auto& [request, rental] : rentals_) {
+    head.rentals.push_back(rental.request);
+    tail_bytes += 64 + request.size() + rental.request.type.size() + rental.request.zone.size();
+    r.rentals.push_back(request);
+  }
+  rentals_dirty_ = false;
+
+  // Machines.
+  for (auto it = dirty_machine_shards_.begin(); it != dirty_machine_shards_.end();) {
+    std::vector<MachineRecord> list;
+    for (const auto& [name, m] : tables_.machines)
+      if (machine_shard(name) == *it && (m->recorded || m->record_dirty))
+        list.push_back({name, m->address});
+    std::string value = encode_machines(list);
+    if (!room(value.size())) break;
+    ++ops;
+    bytes += value.size() + 64;
+    for (const auto& m : list) r.machines_added.push_back(m.name);
+    if (list.empty())
+      txn.deletes.push_back(machines_key(*it));
+    else
+      txn.puts.push_back({machines_key(*it), std::move(value), 0});
+    it = dirty_machine_shards_.erase(it);
+  }
+
+  // Jobs: pieces of large bitmaps first, then the record, into the head's tail.
+  std::vector<Job*> left;
+  std::map<std::string, Job*> changed;
+  for (Job* job : dirty_jobs_) {
+    bool whole = true;
+    while (!job->dirty_pieces.empty()) {
+      const std::size_t piece = *job->dirty_pieces.begin();
+      const std::string key = bitmap_key(job->spec().id, piece);
+      if (job->record.final) {
+        // A finished job's pieces are deleted, as far as there are any.
+        if (!room(0)) {
+          whole = false;
+          break;
+        }
+        txn.deletes.push_back(key);
+      } else {
+        std::string value =
+            "{\"h\":\"" + job->record.done.hex(piece * kPieceBits, kPieceBits) + "\"}";
+        if (!room(value.size())) {
+          whole = false;
+          break;
+        }
+        bytes += value.size() + 64;
+        txn.puts.push_back({key, std::move(value), 0});
+      }
+      ++ops;
+      job->dirty_pieces.erase(piece);
+    }
+    if (!whole) {
+      left.push_back(job);
+      continue;
+    }
+    changed[job->spec().id] = job;
+  }
+
+  // What doesn't fit into the head moves to its shard, together with what lay there before.
+  for (auto& [id, job] : changed) r.tail[id] = record_text(*job, r.seq);
+  for (const auto& [id, text] : r.tail) tail_bytes += text.size() + 1;
+  const bool flush = tail_bytes > head_limit;
+  if (flush) {
+    std::map<std::size_t, std::vector<std::string>> by_shard;
+    for (const auto& [id, text] : r.tail) {
+      const Job* job = tables_.job(id);
+      std::size_t reserve = kFinalRecordBytes;
+      if (job != nullptr && !job->record.final) reserve = text.size() + 24;
+      by_shard[shard_for(id, reserve)].push_back(id);
+    }
+    for (const auto& [shard, ids] : by_shard) {
+      std::vector<std::string> records;
+      std::size_t size = 32, reserved = 0;
+      for (const std::string& id : shards_[shard].ids) {
+        std::string text;
+        if (const auto t = r.tail.find(id); t != r.tail.end()) {
+          text = t->second;
+        } else if (const Job* job = tables_.job(id)) {
+          // Unchanged, or changed and waiting for a later round: then its last committed sequence
+          // stands, and the record written later counts.
+          text = encode_record(job->record);
+        } else if (const auto f = tables_.finished.find(id); f != tables_.finished.end()) {
+          JobRecord record;
+          record.spec.id = id;
+          record.spec.tasks = f->second.tasks;
+          record.phase = f->second.phase;
+          record.seq = f->second.seq;
+          text = encode_record(record);
+        } else {
+          continue;
+        }
+        const Job* job = tables_.job(id);
+        auto& reserve = shard_of_[id].second;
+        reserve = job != nullptr && !job->record.final ? text.size() + 24 : kFinalRecordBytes;
+        reserved += reserve;
+        size += text.size() + 1;
+        records.push_back(std::move(text));
+      }
+      shards_[shard].reserved = reserved;
+      if (size > value_limit || !room(size)) continue;
+      ++ops;
+      bytes += size + 64;
+      txn.puts.push_back({shard_key(shard), encode_shard(records), 0});
+      for (const std::string& id : ids) {
+        tail_bytes -= r.tail[id].size() + 1;
+        r.tail.erase(id);
+      }
+    }
+  }
+  // A burst larger than one round: the rest of it waits for the next.
+  for (auto it = changed.begin(); it != changed.end() && tail_bytes > hard_limit;) {
+    const auto t = r.tail.find(it->first);
+    if (t == r.tail.end()) {
+      ++it;
+      continue;
+    }
+    const auto before = tail_.find(it->first);
+    tail_bytes -= t->second.size() + 1;
+    if (before == tail_.end()) {
+      r.tail.erase(t);
+    } else {
+      t->second = before->second;
+      tail_bytes += t->second.size() + 1;
+    }
+    left.push_back(it->second);
+    it = changed.erase(it);
+  }
+  std::vector<std::string> records;
+  for (const auto& [id, text] : r.tail) records.push_back(text);
+  txn.puts.insert(txn.puts.begin(), {kHeadKey, encode_head(head, records), 0});
+
+  std::set<std::string> postponed;
+  for (Job* job : left) postponed.insert(job->spec().id);
+  for (auto& [id, job] : changed) {
+    job->dirty = false;
+    r.jobs.push_back({id, job->record.phase, job->record.final, job->record.started});
+  }
+  dirty_jobs_ = std::move(left);
+  std::vector<Waiter> wait_on;
+  for (Waiter& w : waiting_next_)
+    (postponed.contains(w.id) ? wait_on : r.waiters).push_back(std::move(w));
+  waiting_next_ = std::move(wait_on);
+  std::vector<std::pair<std::string, std::uint32_t>> finished_on;
+  for (auto& f : finished_next_)
+    (postponed.contains(f.first) ? finished_on : r.finished_tasks).push_back(std::move(f));
+  finished_next_ = std::move(finished_on);
+
+  round_open_ = true;
+  resolve_round();
+}
+
+// Sends the open round's transaction, again if need be. Without an answer it may have been carried
+// out, or may be later; but as it is conditional on the head, it can be so only once, and nothing
+// else is written until its fate is known.
+void Core::resolve_round() {
+  if (!in_command(clock_.now)) {
+    round_retry_ = clock_.now + 50;
+    return;
+  }
+  const std::uint64_t term = term_;
+  write_budget_.has(0, clock_.now);
+  write_budget_.take(static_cast<double>(round_.call.puts.size() + round_.call.deletes.size()));
+  call_state(
+      round_.call,
+      [this, term](const StateReply& reply) {
+        if (term == term_ && role_ == Role::Leader) round_done(reply);
+      },
+      true);
+}
+
+void Core::round_done(const StateReply& reply) {
+  if (reply.status == 200) return round_committed(reply.revision);
+  if (reply.status == 400) {
+    log(Log::Level::Error, "event=round_refused seq=", round_.seq);
+    return step_down("the state service finds the checkpoint malformed");
+  }
+  if (reply.status != 409) {
+    round_retry_ = clock_.now + (reply.status == 0 ? 0 : 100);
+    log(Log::Level::Info, "event=round_retry seq=", round_.seq, " status=", reply.status);
+    return;
+  }
+  // Either an earlier copy of it was carried out, or another leads.
+  const std::uint64_t term = term_;
+  StateCall get;
+  get.kind = StateCall::Kind::List;
+  get.key = kHeadKey;
+  get.limit = 1;
+  call_state(
+      get,
+      [this, term](const StateReply& r) {
+        if (term != term_ || role_ != Role::Leader) return;
+        if (r.status != 200) {
+          round_retry_ = clock_.now + 100;
+          return;
+        }
+        Image image;
+        for (const StateItem& item : r.items) image.apply(item);
+        if (image.head.seq == round_.seq && image.head.epoch == epoch_)
+          round_committed(image.head_version);
+        else
+          step_down("the checkpoint is another's");
+      },
+      true);
+}
+
+void Core::round_committed(std::uint64_t revision) {
+  Round r = std::move(round_);
+  round_ = Round{};
+  round_open_ = false;
+  round_retry_ = kNever;
+  head_seq_ = r.seq;
+  head_version_ = revision;
+  tail_ = std::move(r.tail);
+  for (const std::string& name : r.machines_added)
+    if (Machine* m = tables_.machine(name)) {
+      if (!m->recorded) placement_dirty_ = true;
+      m->recorded = true;
+      m->record_dirty = false;
+    }
+  for (const std::string& request : r.rentals)
+    if (const auto it = rentals_.find(request); it != rentals_.end()) it->second.committed = true;
+  for (const auto& [id, index] : r.finished_tasks) {
+    // Now that it is written that the task is finished, its worker may forget it.
+    const auto key = TaskKey{id, index};
+    for (auto& [name, m] : tables_.machines)
+      for (Placement& p : m->placements)
+        if (p.state == PlaceState::Exited && p.key.index == index && p.key.job == id)
+          p.settled = true;
+  }
+  std::vector<Job*> over;
+  for (const auto& [id, phase, final, started] : r.jobs) {
+    Job* job = tables_.job(id);
+    if (job == nullptr) continue;
+    if (!job->committed) placement_dirty_ = true;
+    job->committed = true;
+    job->committed_phase = phase;
+    job->started = started;
+    if (final) over.push_back(job);
+  }
+  for (const Waiter& w : r.waiters) {
+    if (const Job* job = tables_.job(w.id))
+      answer_job(w.origin, w.status, view(*job));
+    else if (const auto f = tables_.finished.find(w.id); f != tables_.finished.end())
+      answer_job(w.origin, w.status, view(w.id, f->second));
+    else
+      refuse(w.origin, "job not found after its commit");
+  }
+  for (Job* job : over) finish_job(*job);
+}
+
+// Marks a job that is over for its last record, once none of its tasks can be on a machine.
+void Core::settle_job(Job& job) {
+  if (job.active() || job.record.final || job.placed > 0 || job.unknown > 0) return;
+  job.record.final = true;
+  if (job.spec().tasks > kInlineBits)
+    for (std::size_t i = 0; i * kPieceBits < job.spec().tasks; ++i) job.dirty_pieces.insert(i);
+  touch(job);
+}
+
+void Core::touch(Job& job) {
+  if (std::find(dirty_jobs_.begin(), dirty_jobs_.end(), &job) == dirty_jobs_.end())
+    dirty_jobs_.push_back(&job);
+  job.dirty = true;
+}
+
+// The job's last record is written: only its final state is kept.
+void Core::finish_job(Job& job) {
+  const std::string id = job.spec().id;
+  log(Log::Level::Info, "event=", job.record.phase == Phase::Done ? "job_done" : "job_cancelled",
+      " job=", id);
+  for (auto& [name, m] : tables_.machines)
+    for (Placement& p : m->placements)
+      if (p.job == &job) p.job = nullptr;
+  tables_.finished[id] = {job.record.phase, job.spec().tasks, job.record.seq};
+  std::erase(dirty_jobs_, &job);
+  guaranteed_.erase(id);
+  tables_.jobs.erase(id);
+  placement_dirty_ = true;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/cloud_codec.cpp
@@ -0,0 +1,121 @@
+#include "protocol/cloud_codec.hpp"
+
+#include "protocol/json.hpp"
+
+namespace sailreel {
+namespace {
+
+bool read_types(const json::Document& doc, CloudReply& out) {
+  const json::Value* list = json::member(doc, "hulls");
+  if (list == nullptr || !list->IsArray()) return false;
+  for (const auto& v : list->GetArray()) {
+    MachineType t;
+    if (!v.IsObject() || !json::get(v, "sku", t.name) || !json::get(v, "cores", t.size.cpus) ||
+        !json::get(v, "ram_gb", t.size.memory_gb) || !json::get(v, "rate", t.price))
+      continue;
+    json::get(v, "cards", t.size.gpus);
+    json::get(v, "cache_gb", t.cache_gb);
+    json::get(v, "pull_gb_per_s", t.fetch_gb_per_s);
+    t.spot_price = t.price;
+    json::get(v, "market_price", t.spot_price);
+    json::get(v, "ready_s", t.boot_s);
+    if (const json::Value* zones = json::member(v, "harbors"); zones && zones->IsArray())
+      for (const auto& z : zones->GetArray())
+        if (z.IsString()) t.zones.emplace_back(z.GetString(), z.GetStringLength());
+    out.types.push_back(std::move(t));
+  }
+  return true;
+}
+
+bool read_names(const json::Document& doc, CloudReply& out) {
+  const json::Value* list = json::member(doc, "vessels");
+  if (list == nullptr || !list->IsArray()) return false;
+  for (const auto& v : list->GetArray())
+    if (v.IsString()) out.names.emplace_back(v.GetString(), v.GetStringLength());
+  return true;
+}
+
+bool read_machines(const json::Document& doc, CloudReply& out) {
+  const json::Value* list = json::member(doc, "vessels");
+  if (list == nullptr || !list->IsArray()) return false;
+  std::string state;
+  for (const auto& v : list->GetArray()) {
+    ListedMachine m;
+    if (!v.IsObject() || !json::get(v, "id", m.name) || !json::get(v, "heading", state)) continue;
+    json::get(v, "endpoint", m.address);
+    json::get(v, "hull", m.type);
+    json::get(v, "harbor", m.zone);
+    json::get(v, "driftwood", m.spot);
+    json::get(v, "age_s", m.age_s);
+    m.state = state == "running"  ? ListedMachine::State::Running
+              : state == "failed" ? ListedMachine::State::Failed
+                                  : ListedMachine::State::Booting;
+    out.machines.push_back(std::move(m));
+  }
+  json::get(doc, "has_next", out.more);
+  return true;
+}
+
+}  // namespace
+
+HttpRequest encode_cloud(const CloudCall& call) {
+  switch (call.kind) {
+    case CloudCall::Kind::Types:
+      return {"GET", "/flavors", ""};
+    case CloudCall::Kind::List:
+      return {"GET",
+              "/machines?" + (call.after.empty() ? "" : "from=" + call.after + "&") +
+                  "limit=" + std::to_string(call.limit),
+              ""};
+    case CloudCall::Kind::Rent: {
+      rapidjson::StringBuffer b;
+      json::Writer w(b);
+      w.StartObject();
+      w.Key("charter");
+      json::put(w, call.rental.request);
+      w.Key("hull");
+      json::put(w, call.rental.type);
+      w.Key("harbor");
+      json::put(w, call.rental.zone);
+      w.Key("driftwood");
+      w.Bool(call.rental.spot);
+      w.Key("how_many");
+      w.Uint(call.rental.count);
+      w.EndObject();
+      return {"POST", "/machines", json::text(b)};
+    }
+    case CloudCall::Kind::Release: {
+      rapidjson::StringBuffer b;
+      json::Writer w(b);
+      w.StartObject();
+      w.Key("vessels");
+      w.StartArray();
+      for (const auto& n : call.names) json::put(w, n);
+      w.EndArray();
+      w.EndObject();
+      return {"POST", "/machines/release", json::text(b)};
+    }
+  }
+  return {};
+}
+
+CloudReply decode_cloud(const CloudCall& call, int status, std::string_view body) {
+  CloudReply out;
+  out.status = status;
+  if (status == 503 && call.kind == CloudCall::Kind::Rent) {
+    json::Document error;
+    std::string text;
+    out.no_capacity = json::parse_object(body, error) && json::get(error, "error", text) &&
+                      text == "no capacity";
+  }
+  if (status != 200 || call.kind == CloudCall::Kind::Release) return out;
+  json::Document doc;
+  const bool ok = json::parse_object(body, doc) &&
+                  (call.kind == CloudCall::Kind::Types  ? read_types(doc, out)
+                   : call.kind == CloudCall::Kind::Rent ? read_names(doc, out)
+                                                        : read_machines(doc, out));
+  if (!ok) out = CloudReply{};
+  return out;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/peer_frames.cpp
@@ -0,0 +1,150 @@
+#include "protocol/peer_frames.hpp"
+
+#include <bit>
+#include <cstring>
+
+#include "protocol/user_codec.hpp"
+
+namespace sailreel {
+namespace {
+
+static_assert(std::endian::native == std::endian::little,
+              "peer frames are little-endian and copied as they lie in memory");
+
+constexpr std::uint32_t kMagic = 0x4c525331;  // "1SRL"
+constexpr std::uint8_t kVersion = 1;
+constexpr std::size_t kMaxText = 256;
+/// A request's body and its id, with room for the fixed part.
+constexpr std::size_t kMaxPayload = kMaxBody + 1024;
+
+#pragma pack(push, 1)
+struct FrameHeader {
+  std::uint32_t magic;
+  std::uint8_t version, kind;
+  std::uint16_t reserved;
+  std::uint32_t length;  // of what follows
+};
+struct BeatBody {
+  std::uint64_t epoch;
+  std::uint8_t leading;
+  std::uint16_t name_length;
+};
+struct RequestBody {
+  std::uint64_t call;
+  std::uint8_t op;
+  std::uint16_t id_length;
+  std::uint32_t body_length;
+};
+struct AnswerBody {
+  std::uint64_t call;
+  std::uint16_t status, retry_after_s;
+  std::uint32_t body_length;
+};
+#pragma pack(pop)
+static_assert(sizeof(FrameHeader) == 12);
+static_assert(sizeof(BeatBody) == 11);
+static_assert(sizeof(RequestBody) == 15);
+static_assert(sizeof(AnswerBody) == 16);
+
+template <typename Body>
+std::string frame(PeerMessage::Kind kind, const Body& body, std::string_view a,
+                  std::string_view b = {}) {
+  const FrameHeader h{kMagic, kVersion, static_cast<std::uint8_t>(kind), 0,
+                      static_cast<std::uint32_t>(sizeof(Body) + a.size() + b.size())};
+  std::string out;
+  out.reserve(sizeof h + h.length);
+  out.append(reinterpret_cast<const char*>(&h), sizeof h);
+  out.append(reinterpret_cast<const char*>(&body), sizeof body);
+  out.append(a).append(b);
+  return out;
+}
+
+/// Takes the fixed part off the payload; false when it is too short.
+template <typename Body>
+bool take(std::string_view& payload, Body& body) {
+  if (payload.size() < sizeof body) return false;
+  std::memcpy(&body, payload.data(), sizeof body);
+  payload.remove_prefix(sizeof body);
+  return true;
+}
+
+bool parse(PeerMessage::Kind kind, std::string_view payload, PeerMessage& m) {
+  m.kind = kind;
+  switch (kind) {
+    case PeerMessage::Kind::Beat: {
+      BeatBody b;
+      if (!take(payload, b) || b.name_length > kMaxText || payload.size() != b.name_length)
+        return false;
+      m.beat = {std::string(payload), b.epoch, b.leading != 0};
+      return true;
+    }
+    case PeerMessage::Kind::Request: {
+      RequestBody b;
+      if (!take(payload, b) || b.op > static_cast<std::uint8_t>(UserOp::Report) ||
+          b.id_length > kMaxText || b.body_length > kMaxBody ||
+          payload.size() != std::size_t{b.id_length} + b.body_length)
+        return false;
+      m.request = {b.call, static_cast<UserOp>(b.op), std::string(payload.substr(0, b.id_length)),
+                   std::string(payload.substr(b.id_length))};
+      return true;
+    }
+    case PeerMessage::Kind::Answer: {
+      AnswerBody b;
+      if (!take(payload, b) || payload.size() != b.body_length) return false;
+      m.answer = {b.call, b.status, b.retry_after_s, std::string(payload)};
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::string encode_peer(const PeerMessage& m) {
+  switch (m.kind) {
+    case PeerMessage::Kind::Beat:
+      return frame(m.kind,
+                   BeatBody{m.beat.epoch, static_cast<std::uint8_t>(m.beat.leading),
+                            static_cast<std::uint16_t>(m.beat.node.size())},
+                   m.beat.node);
+    case PeerMessage::Kind::Request:
+      return frame(m.kind,
+                   RequestBody{m.request.call, static_cast<std::uint8_t>(m.request.op),
+                               static_cast<std::uint16_t>(m.request.id.size()),
+                               static_cast<std::uint32_t>(m.request.body.size())},
+                   m.request.id, m.request.body);
+    case PeerMessage::Kind::Answer:
+      return frame(m.kind,
+                   AnswerBody{m.answer.call, static_cast<std::uint16_t>(m.answer.status),
+                              static_cast<std::uint16_t>(m.answer.retry_after_s),
+                              static_cast<std::uint32_t>(m.answer.body.size())},
+                   m.answer.body);
+  }
+  return {};
+}
+
+std::optional<PeerMessage> PeerReader::next() {
+  if (broken_) return {};
+  std::string_view rest = std::string_view(buffer_).substr(used_);
+  FrameHeader h;
+  std::string_view head = rest;
+  if (!take(head, h)) {
+    buffer_.erase(0, used_);
+    used_ = 0;
+    return {};
+  }
+  if (h.magic != kMagic || h.version != kVersion || h.length > kMaxPayload) {
+    broken_ = true;
+    return {};
+  }
+  if (head.size() < h.length) return {};
+  PeerMessage m;
+  if (!parse(static_cast<PeerMessage::Kind>(h.kind), head.substr(0, h.length), m)) {
+    broken_ = true;
+    return {};
+  }
+  used_ += sizeof h + h.length;
+  return m;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/peer_frames.hpp
@@ -0,0 +1,54 @@
+// Frames between our own processes: packed structs, little-endian, versioned, lengths checked.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "protocol/messages.hpp"
+
+namespace sailreel {
+
+/// Said by every node to every other: who it is, and whether it leads.
+struct PeerBeat {
+  std::string node;
+  std::uint64_t epoch = 0;
+  bool leading = false;
+};
+/// A user's request or a worker's report, handed on to the leader.
+struct PeerRequest {
+  std::uint64_t call = 0;
+  UserOp op = UserOp::Query;
+  std::string id, body;
+};
+struct PeerAnswer {
+  std::uint64_t call = 0;
+  int status = 0, retry_after_s = 0;
+  std::string body;
+};
+
+struct PeerMessage {
+  enum class Kind : std::uint8_t { Beat = 1, Request = 2, Answer = 3 } kind = Kind::Beat;
+  PeerBeat beat;
+  PeerRequest request;
+  PeerAnswer answer;
+};
+
+std::string encode_peer(const PeerMessage& message);
+
+/// Cuts frames out of a byte stream.
+class PeerReader {
+ public:
+  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  /// The next whole message, or empty: more bytes are needed, or the stream is `broken`.
+  std::optional<PeerMessage> next();
+  [[nodiscard]] bool broken() const { return broken_; }
+
+ private:
+  std::string buffer_;
+  std::size_t used_ = 0;
+  bool broken_ = false;
+};
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/settings.cpp
@@ -0,0 +1,156 @@
+#include "protocol/settings.hpp"
+
+#include <charconv>
+#include <set>
+
+#include "protocol/json.hpp"
+
+namespace sailreel {
+namespace {
+
+[[noreturn]] void fail(const std::string& field, const std::string& what) {
+  throw SettingsError("settings: " + field + ": " + what);
+}
+
+const json::Value& object(const json::Value& v, const char* name, const std::string& path) {
+  const json::Value* m = json::member(v, name);
+  if (m == nullptr || !m->IsObject()) fail(path, "missing or not an object");
+  return *m;
+}
+
+const json::Value* list(const json::Value& v, const char* name, const std::string& path) {
+  const json::Value* m = json::member(v, name);
+  if (m != nullptr && !m->IsArray()) fail(path, "not a list");
+  return m;
+}
+
+std::string text(const json::Value& v, const char* name, const std::string& path) {
+  std::string s;
+  if (!v.IsObject() || !json::get(v, name, s) || s.empty())
+    fail(path, "missing or not a non-empty string");
+  return s;
+}
+
+double number(const json::Value& v, const char* name, const std::string& path, bool positive) {
+  double d = 0;
+  if (!v.IsObject() || !json::get(v, name, d)) fail(path, "missing or not a non-negative number");
+  if (positive && d <= 0) fail(path, "must be above 0");
+  return d;
+}
+
+std::string endpoint(const json::Value& v, const char* name, const std::string& path) {
+  std::string s = text(v, name, path);
+  if (!parse_endpoint(s)) fail(path, "not an address of the form 10.0.0.1:8080");
+  return s;
+}
+
+std::string at(const char* base, std::size_t i, const char* field) {
+  return std::string(base) + "[" + std::to_string(i) + "]." + field;
+}
+
+}  // namespace
+
+std::optional<Endpoint> parse_endpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) return {};
+  Endpoint e;
+  e.host.assign(text.substr(0, colon));
+  if (e.host.find_first_not_of("0123456789.") != std::string::npos) return {};
+  const auto digits = text.substr(colon + 1);
+  const auto* end = digits.data() + digits.size();
+  const auto [p, ec] = std::from_chars(digits.data(), end, e.port);
+  if (ec != std::errc() || p != end || e.port < 1 || e.port > 65535) return {};
+  return e;
+}
+
+Settings parse_settings(std::string_view input) {
+  json::Document doc;
+  if (!json::parse_object(input, doc)) fail("(file)", "not a JSON object");
+  Settings s;
+  s.name = text(doc, "label", "label");
+  s.zone = text(doc, "area", "area");
+  s.listen = endpoint(doc, "listen", "listen");
+  s.peer_listen = endpoint(doc, "peer_listen", "peer_listen");
+  if (s.listen == s.peer_listen) fail("peer_listen", "same address as listen");
+  std::set<std::string> names{s.name};
+  if (const json::Value* l = list(doc, "siblings", "siblings"))
+    for (rapidjson::SizeType i = 0; i < l->Size(); ++i) {
+      const auto& v = (*l)[i];
+      Sibling p{text(v, "label", at("siblings", i, "label")),
+                text(v, "area", at("siblings", i, "area")),
+                endpoint(v, "endpoint", at("siblings", i, "endpoint"))};
+      if (!names.insert(p.name).second) fail(at("siblings", i, "label"), "used twice");
+      s.siblings.push_back(std::move(p));
+    }
+  const auto& external = object(doc, "external", "external");
+  s.cloud = endpoint(external, "cloud", "external.cloud");
+  s.state = endpoint(external, "state", "external.state");
+
+  const auto& p = object(doc, "settings", "settings");
+  if (const json::Value* l = list(p, "zones", "settings.zones"))
+    for (const auto& z : l->GetArray()) {
+      if (!z.IsString()) fail("settings.zones", "not a list of strings");
+      s.zones.emplace_back(z.GetString(), z.GetStringLength());
+    }
+  if (s.zones.empty()) fail("settings.zones", "missing or empty");
+  if (const json::Value* l = list(p, "teams", "settings.teams")) {
+    std::set<std::string> teams;
+    for (rapidjson::SizeType i = 0; i < l->Size(); ++i) {
+      const auto& v = (*l)[i];
+      const auto num = [&](const char* f) {
+        return number(v, f, at("settings.teams", i, f), false);
+      };
+      Team t{text(v, "name", at("settings.teams", i, "name")), num("cpus"), num("cpus_max"),
+             num("gpus"), num("gpus_max")};
+      if (!teams.insert(t.name).second) fail(at("settings.teams", i, "name"), "used twice");
+      s.teams.push_back(std::move(t));
+    }
+  }
+  if (s.teams.empty()) fail("settings.teams", "missing or empty");
+  if (const json::Value* l = list(p, "objectives", "settings.objectives"))
+    for (rapidjson::SizeType i = 0; i < l->Size(); ++i) {
+      const auto& v = (*l)[i];
+      Objective o;
+      o.kind = text(v, "kind", at("settings.objectives", i, "kind"));
+      json::get(v, "class", o.job_class);
+      json::get(v, "within_s", o.within_s);
+      json::get(v, "share", o.share);
+      s.objectives.push_back(std::move(o));
+    }
+  const auto& w = object(p, "workers", "settings.workers");
+  s.workers.report_s = number(w, "report_s", "settings.workers.report_s", true);
+  s.workers.lease_s = number(w, "lease_s", "settings.workers.lease_s", true);
+  s.workers.cancel_s = number(w, "cancel_s", "settings.workers.cancel_s", true);
+  if (s.workers.cancel_s <= s.workers.lease_s)
+    fail("settings.workers.cancel_s", "must be above settings.workers.lease_s");
+  const auto& st = object(p, "state", "settings.state");
+  s.store.rps = number(st, "rps", "settings.state.rps", true);
+  s.store.write_rps = number(st, "write_rps", "settings.state.write_rps", true);
+  s.store.value_kb = number(st, "value_kb", "settings.state.value_kb", true);
+  if (s.store.value_kb < 4) fail("settings.state.value_kb", "must be at least 4");
+  if (!json::get(st, "txn_ops", s.store.txn_ops) || s.store.txn_ops < 4)
+    fail("settings.state.txn_ops", "missing or not a whole number of at least 4");
+  const auto& c = object(p, "cloud", "settings.cloud");
+  s.market.rps = number(c, "rps", "settings.cloud.rps", true);
+  s.market.list_lag_s = number(c, "list_lag_s", "settings.cloud.list_lag_s", false);
+  const auto& r = object(p, "resources", "settings.resources");
+  s.limits.cpu = number(r, "cpu", "settings.resources.cpu", true);
+  s.limits.memory_mb = number(r, "memory_mb", "settings.resources.memory_mb", true);
+  if (!json::get(r, "fd_limit", s.limits.sockets) || s.limits.sockets < 32)
+    fail("settings.resources.fd_limit", "missing or not a whole number of at least 32");
+  return s;
+}
+
+void check_options(const Options& o) {
+  const auto range = [](double v, double low, double high, const char* name) {
+    if (!(v >= low && v <= high))
+      throw SettingsError(std::string("options: ") + name + ": must lie between " +
+                          std::to_string(low) + " and " + std::to_string(high));
+  };
+  range(o.leader_lease_ratio, 0.1, 1.0, "leader_lease_ratio");
+  range(o.headroom_ratio, 0.0, 1.0, "headroom_ratio");
+  range(o.idle_ratio, 0.0, 100.0, "idle_ratio");
+  range(o.state_share, 0.1, 1.0, "state_share");
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/settings.hpp
@@ -0,0 +1,79 @@
+// The settings file that the platform hands over, and the operators' own options.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/messages.hpp"
+
+namespace sailreel {
+
+struct Sibling {
+  std::string name, zone, address;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+};
+
+/// An aim on starting or finishing, as the settings state it.
+struct Objective {
+  std::string kind, job_class;
+  double within_s = 0, share = 0;
+};
+
+struct Settings {
+  std::string name, zone, listen, peer_listen;
+  std::vector<Sibling> siblings;
+  std::string cloud, state;
+  std::vector<std::string> zones;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  struct {
+    double report_s = 0, lease_s = 0, cancel_s = 0;
+  } workers;
+  struct {
+    double rps = 0, write_rps = 0, value_kb = 0;
+    std::uint64_t txn_ops = 0;
+  } store;
+  struct {
+    double rps = 0, list_lag_s = 0;
+  } market;
+  struct {
+    double cpu = 1, memory_mb = 0;
+    std::uint64_t sockets = 0;
+  } limits;
+};
+
+/// What operators may set beside the platform's file. Each is a ratio to a figure of that file.
+struct Options {
+  /// Length of the leader's lease, as a share of the workers' lease.
+  double leader_lease_ratio = 0.25;
+  /// Ordinary room kept free for work to come, as a share of the room in use.
+  double headroom_ratio = 0.08;
+  /// How long a machine stays without work before it is returned, as a share of its boot time.
+  double idle_ratio = 0.6;
+  /// Share of the state service's budgets that a leader uses.
+  double state_share = 0.7;
+};
+
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Throws SettingsError naming the field at fault.
+Settings parse_settings(std::string_view text);
+void check_options(const Options& options);
+
+struct Endpoint {
+  std::string host;
+  int port = 0;
+};
+std::optional<Endpoint> parse_endpoint(std::string_view text);
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/state_codec.hpp
@@ -0,0 +1,15 @@
+// The state service's API.
+#pragma once
+
+#include <string_view>
+
+#include "protocol/cloud_codec.hpp"
+#include "protocol/messages.hpp"
+
+namespace sailreel {
+
+HttpRequest encode_state(const StateCall& call);
+/// A 200 whose body can't be read becomes status 0: what it did is unknown.
+StateReply decode_state(const StateCall& call, int status, std::string_view body);
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/protocol/worker_codec.hpp
@@ -0,0 +1,22 @@
+// Workers' reports and the commands they take.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/messages.hpp"
+
+namespace sailreel {
+
+std::optional<Report> decode_report(std::string_view body);
+/// The answer to a report.
+std::string encode_report_answer(std::uint64_t token, const std::vector<Command>& commands);
+/// The body of a direct command.
+std::string encode_direct(std::uint64_t token, std::uint64_t session,
+                          const std::vector<Command>& commands);
+/// The body that sends a worker to another node; `node` may be empty.
+std::string encode_redirect(const std::string& node);
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/storage/checkpoint.cpp
@@ -0,0 +1,310 @@
+#include "storage/checkpoint.hpp"
+
+#include <charconv>
+#include <cstdio>
+
+#include "protocol/json.hpp"
+
+namespace sailreel {
+namespace {
+
+constexpr std::size_t kMachinesPerShard = 32;
+
+std::string numbered(const char* prefix, std::size_t n) {
+  char buffer[64];
+  std::snprintf(buffer, sizeof buffer, "%s%06zu", prefix, n);
+  return buffer;
+}
+
+std::optional<std::size_t> number_after(std::string_view key, std::string_view prefix) {
+  if (!key.starts_with(prefix)) return {};
+  key.remove_prefix(prefix.size());
+  std::size_t n = 0;
+  const auto [p, ec] = std::from_chars(key.data(), key.data() + key.size(), n);
+  if (ec != std::errc() || p != key.data() + key.size()) return {};
+  return n;
+}
+
+std::string as_text(const json::Value& v) {
+  return v.IsString() ? std::string(v.GetString(), v.GetStringLength()) : std::string();
+}
+
+bool decode_record(const json::Value& v, JobRecord& r) {
+  constexpr unsigned kFinal = 4, kActive = 22;
+  if (!v.IsArray() || (v.Size() != kFinal && v.Size() != kActive)) return false;
+  const auto number = [&](unsigned i) { return v[i].IsNumber() ? v[i].GetDouble() : 0.0; };
+  const auto whole = [&](unsigned i) { return v[i].IsUint64() ? v[i].GetUint64() : 0; };
+  JobSpec& s = r.spec;
+  s.id = as_text(v[0]);
+  r.phase = static_cast<Phase>(whole(1));
+  r.seq = whole(2);
+  s.tasks = static_cast<std::uint32_t>(whole(3));
+  if (s.id.empty() || s.tasks == 0) return false;
+  r.final = v.Size() == kFinal;
+  if (r.final) return r.phase == Phase::Done || r.phase == Phase::Cancelled;
+  s.job_class = as_text(v[4]);
+  s.team = as_text(v[5]);
+  s.kind = static_cast<JobKind>(whole(6));
+  s.priority = static_cast<Priority>(whole(7));
+  s.need = {number(8), number(9), number(10)};
+  s.image = as_text(v[11]);
+  s.image_gb = number(12);
+  s.any_type = !v[13].IsArray();
+  if (v[13].IsArray())
+    for (const auto& t : v[13].GetArray()) s.types.push_back(as_text(t));
+  s.zone = as_text(v[14]);
+  const std::uint64_t flags = whole(15);
+  s.one_zone = (flags & 1) != 0;
+  s.spread = (flags & 2) != 0;
+  s.spot = (flags & 4) != 0;
+  r.started = (flags & 8) != 0;
+  s.estimate_s = number(16);
+  s.checkpoint_s = number(17);
+  s.save_s = number(18);
+  if (v[19].IsNumber()) s.deadline_s = v[19].GetDouble();
+  r.submitted_wall_ms = static_cast<std::int64_t>(whole(20));
+  r.done = Bitmap(s.tasks);
+  r.done.merge_hex(0, as_text(v[21]));
+  return true;
+}
+
+std::string list_of(const char* field, const std::vector<std::string>& records) {
+  std::string out = std::string("\"") + field + "\":[";
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    if (i != 0) out += ',';
+    out += records[i];
+  }
+  return out + "]";
+}
+
+}  // namespace
+
+std::string shard_key(std::size_t shard) { return numbered("sr/s/", shard); }
+std::string bitmap_key(const std::string& job, std::size_t piece) {
+  return numbered(("sr/b/" + job + "/").c_str(), piece);
+}
+std::string machines_key(std::size_t shard) { return numbered("sr/m/", shard); }
+
+std::size_t machine_shard(std::string_view name) {
+  const auto last = name.find_last_not_of("0123456789");
+  std::size_t n = 0;
+  const char* first = name.data() + (last == std::string_view::npos ? 0 : last + 1);
+  std::from_chars(first, name.data() + name.size(), n);
+  return n / kMachinesPerShard;
+}
+
+std::string Bitmap::hex(std::size_t first, std::size_t n) const {
+  static constexpr char kDigits[] = "0123456789abcdef";
+  std::string out;
+  const std::size_t end = std::min(size_, first + n);
+  out.reserve((end - std::min(end, first) + 3) / 4);
+  for (std::size_t i = first; i < end; i += 4) {
+    unsigned digit = 0;
+    for (std::size_t b = 0; b < 4; ++b)
+      if (test(i + b)) digit |= 1U << b;
+    out += kDigits[digit];
+  }
+  return out;
+}
+
+void Bitmap::merge_hex(std::size_t first, std::string_view digits) {
+  for (std::size_t i = 0; i < digits.size(); ++i) {
+    const char c = digits[i];
+    const unsigned digit = c >= '0' && c <= '9'   ? static_cast<unsigned>(c - '0')
+                           : c >= 'a' && c <= 'f' ? static_cast<unsigned>(c - 'a' + 10)
+                                                  : 0;
+    for (std::size_t b = 0; b < 4; ++b)
+      if ((digit >> b & 1) != 0 && first + i * 4 + b < size_) set(first + i * 4 + b);
+  }
+}
+
+std::string encode_record(const JobRecord& r) {
+  rapidjson::StringBuffer b;
+  json::Writer w(b);
+  const JobSpec& s = r.spec;
+  w.StartArray();
+  json::put(w, s.id);
+  w.Uint(static_cast<unsigned>(r.phase));
+  w.Uint64(r.seq);
+  w.Uint(s.tasks);
+  if (!r.final) {
+    json::put(w, s.job_class);
+    json::put(w, s.team);
+    w.Uint(static_cast<unsigned>(s.kind));
+    w.Uint(static_cast<unsigned>(s.priority));
+    w.Double(s.need.cpus);
+    w.Double(s.need.gpus);
+    w.Double(s.need.memory_gb);
+    json::put(w, s.image);
+    w.Double(s.image_gb);
+    if (s.any_type) {
+      w.Null();
+    } else {
+      w.StartArray();
+      for (const auto& t : s.types) json::put(w, t);
+      w.EndArray();
+    }
+    json::put(w, s.zone);
+    w.Uint((s.one_zone ? 1U : 0U) | (s.spread ? 2U : 0U) | (s.spot ? 4U : 0U) |
+           (r.started ? 8U : 0U));
+    w.Double(s.estimate_s);
+    w.Double(s.checkpoint_s);
+    w.Double(s.save_s);
+    if (s.deadline_s)
+      w.Double(*s.deadline_s);
+    else
+      w.Null();
+    w.Uint64(static_cast<std::uint64_t>(r.submitted_wall_ms));
+    json::put(w, s.kind == JobKind::Array && s.tasks <= kInlineBits ? r.done.hex(0, kInlineBits)
+                                                                     : std::string());
+  }
+  w.EndArray();
+  return json::text(b);
+}
+
+std::string encode_leader(const LeaderRecord& leader) {
+  rapidjson::StringBuffer b;
+  json::Writer w(b);
+  w.StartObject();
+  w.Key("node");
+  json::put(w, leader.node);
+  w.Key("epoch");
+  w.Uint64(leader.epoch);
+  w.Key("nonce");
+  w.Uint64(leader.nonce);
+  w.EndObject();
+  return json::text(b);
+}
+
+std::optional<LeaderRecord> decode_leader(std::string_view value) {
+  json::Document doc;
+  LeaderRecord l;
+  if (!json::parse_object(value, doc) || !json::get(doc, "node", l.node) ||
+      !json::get(doc, "epoch", l.epoch))
+    return {};
+  json::get(doc, "nonce", l.nonce);
+  return l;
+}
+
+std::string encode_machines(const std::vector<MachineRecord>& machines) {
+  rapidjson::StringBuffer b;
+  json::Writer w(b);
+  w.StartObject();
+  w.Key("m");
+  w.StartArray();
+  for (const auto& m : machines) {
+    w.StartArray();
+    json::put(w, m.name);
+    json::put(w, m.address);
+    w.EndArray();
+  }
+  w.EndArray();
+  w.EndObject();
+  return json::text(b);
+}
+
+std::string encode_head(const Head& head, const std::vector<std::string>& records) {
+  rapidjson::StringBuffer b;
+  json::Writer w(b);
+  w.StartArray();
+  for (const auto& r : head.rentals) {
+    w.StartArray();
+    json::put(w, r.request);
+    json::put(w, r.type);
+    json::put(w, r.zone);
+    w.Bool(r.spot);
+    w.Uint(r.count);
+    w.EndArray();
+  }
+  w.EndArray();
+  return "{\"q\":" + std::to_string(head.seq) + ",\"e\":" + std::to_string(head.epoch) +
+         ",\"r\":" + json::text(b) + "," + list_of("t", records) + "}";
+}
+
+std::string encode_shard(const std::vector<std::string>& records) {
+  return "{" + list_of("t", records) + "}";
+}
+
+void Image::apply(const StateItem& item) {
+  const std::string& key = item.key;
+  if (key == kLeaderKey) {
+    leader = item.deleted ? std::nullopt : decode_leader(item.value);
+    return;
+  }
+  if (key.starts_with("sr/b/")) {
+    const auto slash = key.rfind('/');
+    const std::string job = key.substr(5, slash - 5);
+    const auto piece = number_after(key, key.substr(0, slash + 1));
+    if (!piece) return;
+    if (item.deleted) {
+      pieces.erase({job, *piece});
+      return;
+    }
+    json::Document doc;
+    std::string digits;
+    if (json::parse_object(item.value, doc) && json::get(doc, "h", digits))
+      pieces[{job, *piece}] = digits;
+    else
+      ++unreadable;
+    return;
+  }
+  if (item.deleted) {
+    if (const auto shard = number_after(key, "sr/m/")) machines.erase(*shard);
+    return;
+  }
+  json::Document doc;
+  if (!json::parse_object(item.value, doc)) {
+    ++unreadable;
+    return;
+  }
+  if (key == kEpochKey) {
+    json::get(doc, "epoch", epoch);
+    epoch_version = item.version;
+    return;
+  }
+  if (const auto shard = number_after(key, "sr/m/")) {
+    auto& list = machines[*shard];
+    list.clear();
+    if (const json::Value* m = json::member(doc, "m"); m != nullptr && m->IsArray())
+      for (const auto& v : m->GetArray())
+        if (v.IsArray() && v.Size() == 2) list.push_back({as_text(v[0]), as_text(v[1])});
+    return;
+  }
+  const bool is_head = key == kHeadKey;
+  const auto shard = number_after(key, "sr/s/");
+  if (!is_head && !shard) return;
+  if (is_head) {
+    json::get(doc, "q", head.seq);
+    json::get(doc, "e", head.epoch);
+    head_version = item.version;
+    head.rentals.clear();
+    in_head.clear();
+    if (const json::Value* r = json::member(doc, "r"); r != nullptr && r->IsArray())
+      for (const auto& v : r->GetArray())
+        if (v.IsArray() && v.Size() == 5 && v[3].IsBool() && v[4].IsUint())
+          head.rentals.push_back(
+              {as_text(v[0]), as_text(v[1]), as_text(v[2]), v[3].GetBool(), v[4].GetUint()});
+  }
+  const json::Value* list = json::member(doc, "t");
+  if (list == nullptr || !list->IsArray()) return;
+  for (const auto& v : list->GetArray()) {
+    JobRecord record;
+    if (!decode_record(v, record)) {
+      ++unreadable;
+      continue;
+    }
+    const std::string id = record.spec.id;
+    if (is_head)
+      in_head.push_back(id);
+    else
+      shard_of[id] = *shard;
+    // A job can be in its shard and, changed since, in the head: the later change counts.
+    const auto it = jobs.find(id);
+    if (it == jobs.end())
+      jobs.emplace(id, std::move(record));
+    else if (it->second.seq <= record.seq)
+      it->second = std::move(record);
+  }
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/storage/checkpoint.hpp
@@ -0,0 +1,120 @@
+// The layout of what outlives a process: keys and values in the state service.
+//
+//   sr/lead          who leads; tied to the leader's lease, gone with it
+//   sr/epoch         the highest epoch ever granted; every write is conditional on its version
+//   sr/head          the checkpoint's sequence, open rentals, and the jobs changed last
+//   sr/s/<shard>     jobs, some twenty active or some hundreds of finished ones to a shard
+//   sr/b/<job>/<n>   finished tasks of large arrays, a piece of the bitmap each
+//   sr/m/<shard>     machines that may hold tasks, and their addresses
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/messages.hpp"
+
+namespace sailreel {
+
+inline constexpr const char* kPrefix = "sr/";
+inline constexpr const char* kLeaderKey = "sr/lead";
+inline constexpr const char* kEpochKey = "sr/epoch";
+inline constexpr const char* kHeadKey = "sr/head";
+
+std::string shard_key(std::size_t shard);
+std::string bitmap_key(const std::string& job, std::size_t piece);
+std::string machines_key(std::size_t shard);
+/// Machines are numbered by the cloud in order of creation, so neighbours share a shard.
+std::size_t machine_shard(std::string_view name);
+
+/// Which tasks of a job are finished.
+class Bitmap {
+ public:
+  explicit Bitmap(std::size_t size = 0) : size_(size), words_((size + 63) / 64) {}
+  /// False if it was set already.
+  bool set(std::size_t i) {
+    auto& w = words_[i / 64];
+    const std::uint64_t bit = std::uint64_t{1} << (i % 64);
+    if ((w & bit) != 0) return false;
+    w |= bit;
+    ++count_;
+    return true;
+  }
+  [[nodiscard]] bool test(std::size_t i) const {
+    return i < size_ && (words_[i / 64] >> (i % 64) & 1) != 0;
+  }
+  [[nodiscard]] std::size_t size() const { return size_; }
+  [[nodiscard]] std::size_t count() const { return count_; }
+
+  /// Bits from `first` on, at most `n`, as hex digits of four bits each.
+  [[nodiscard]] std::string hex(std::size_t first, std::size_t n) const;
+  /// Adds the bits that the digits stand for; what lies beyond the end is ignored.
+  void merge_hex(std::size_t first, std::string_view digits);
+
+ private:
+  std::size_t size_ = 0, count_ = 0;
+  std::vector<std::uint64_t> words_;
+};
+
+/// A bitmap of at most so many tasks lies within the job's record; larger ones in pieces.
+inline constexpr std::size_t kInlineBits = 512;
+inline constexpr std::size_t kPieceBits = 8192;
+
+struct JobRecord {
+  JobSpec spec;
+  Phase phase = Phase::Active;
+  std::uint64_t seq = 0;  // of the checkpoint that it was changed in
+  std::int64_t submitted_wall_ms = 0;
+  /// Over, and surely none of its tasks is left on any machine.
+  bool final = false;
+  /// A start of one of its tasks may have been sent. Written before that is.
+  bool started = false;
+  Bitmap done;
+};
+
+/// A job carries its description for as long as tasks of it may be on a machine, since they count
+/// against its team; then it shrinks to its id, phase and size.
+std::string encode_record(const JobRecord& record);
+
+struct LeaderRecord {
+  std::string node;
+  std::uint64_t epoch = 0, nonce = 0;
+};
+std::string encode_leader(const LeaderRecord& leader);
+std::optional<LeaderRecord> decode_leader(std::string_view value);
+
+struct MachineRecord {
+  std::string name, address;
+};
+std::string encode_machines(const std::vector<MachineRecord>& machines);
+
+struct Head {
+  std::uint64_t seq = 0, epoch = 0;
+  std::vector<RentalRequest> rentals;
+};
+std::string encode_head(const Head& head, const std::vector<std::string>& records);
+std::string encode_shard(const std::vector<std::string>& records);
+
+/// A node's picture of the checkpoint, kept by reading keys or their changes.
+class Image {
+ public:
+  void apply(const StateItem& item);
+
+  std::optional<LeaderRecord> leader;
+  std::uint64_t epoch = 0, epoch_version = 0;
+  Head head;
+  std::uint64_t head_version = 0;
+  std::unordered_map<std::string, JobRecord> jobs;
+  /// Which shard a job lies in; jobs that are in the head alone are missing.
+  std::unordered_map<std::string, std::size_t> shard_of;
+  std::map<std::size_t, std::vector<MachineRecord>> machines;
+  std::vector<std::string> in_head;
+  std::map<std::pair<std::string, std::size_t>, std::string> pieces;
+  std::uint64_t unreadable = 0;  // values that could not be understood
+};
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/storage/tables.cpp
@@ -0,0 +1,238 @@
+#include "storage/tables.hpp"
+
+#include <algorithm>
+
+namespace sailreel {
+
+bool Machine::has_image(const std::string& image) const {
+  return std::any_of(images.begin(), images.end(),
+                     [&](const CachedImage& c) { return c.name == image; });
+}
+
+bool Machine::fetching(const std::string& image) const {
+  return std::any_of(placements.begin(), placements.end(), [&](const Placement& p) {
+    return p.held && p.job != nullptr && p.state <= PlaceState::Fetching &&
+           p.job->spec().image == image;
+  });
+}
+
+std::size_t Machine::fetches() const {
+  std::set<std::string> names;
+  for (const Placement& p : placements)
+    if (p.held && p.job != nullptr && p.state <= PlaceState::Fetching &&
+        !has_image(p.job->spec().image))
+      names.insert(p.job->spec().image);
+  return names.size();
+}
+
+void Machine::touch_image(const std::string& image, double gb) {
+  for (auto it = images.begin(); it != images.end(); ++it)
+    if (it->name == image) {
+      images.splice(images.begin(), images, it);
+      return;
+    }
+  images.push_front({image, gb});
+  double total = 0;
+  for (auto it = images.begin(); it != images.end(); ++it) {
+    total += it->gb;
+    if (total > cache_gb && it != images.begin()) {
+      images.erase(it, images.end());
+      return;
+    }
+  }
+}
+
+Placement* Machine::find(const TaskKey& key, std::uint64_t attempt) {
+  for (Placement& p : placements)
+    if (p.attempt == attempt && p.key.index == key.index && p.key.job == key.job) return &p;
+  return nullptr;
+}
+
+bool TeamBook::allows(const Resources& more) const {
+  constexpr double kSlack = 1e-6;
+  return (limits.gpus_max <= 0 || used.gpus + more.gpus <= limits.gpus_max + kSlack) &&
+         (limits.cpus_max <= 0 || used.cpus + more.cpus <= limits.cpus_max + kSlack);
+}
+
+bool TeamBook::within_guarantee(const Resources& total) const {
+  constexpr double kSlack = 1e-6;
+  if (limits.gpus <= 0 && limits.cpus <= 0) return false;
+  return (limits.gpus <= 0 || total.gpus <= limits.gpus + kSlack) &&
+         (limits.cpus <= 0 || total.cpus <= limits.cpus + kSlack);
+}
+
+double TeamBook::share() const {
+  double s = 0;
+  if (limits.gpus > 0) s = std::max(s, used.gpus / limits.gpus);
+  if (limits.cpus > 0) s = std::max(s, used.cpus / limits.cpus);
+  if (limits.gpus <= 0 && limits.cpus <= 0) s = 1 + used.gpus + used.cpus;
+  return s;
+}
+
+Tables::Tables(const Settings& settings) {
+  for (const Team& t : settings.teams) teams.push_back({t, {}});
+}
+
+void Tables::clear() {
+  jobs.clear();
+  finished.clear();
+  machines.clear();
+  for (TeamBook& t : teams) t.used = {};
+}
+
+Job* Tables::job(const std::string& id) {
+  const auto it = jobs.find(id);
+  return it == jobs.end() ? nullptr : it->second.get();
+}
+
+Machine* Tables::machine(const std::string& name) {
+  const auto it = machines.find(name);
+  return it == machines.end() ? nullptr : it->second.get();
+}
+
+TeamBook* Tables::team(const std::string& name) {
+  for (TeamBook& t : teams)
+    if (t.limits.name == name) return &t;
+  return nullptr;
+}
+
+const MachineType* Tables::type(const std::string& name) const {
+  for (const MachineType& t : types)
+    if (t.name == name) return &t;
+  return nullptr;
+}
+
+Job& Tables::add_job(JobRecord record) {
+  auto job = std::make_unique<Job>();
+  job->record = std::move(record);
+  const std::uint32_t n = job->spec().tasks;
+  if (job->record.done.size() != n) job->record.done = Bitmap(n);
+  job->tasks.resize(n);
+  for (std::uint32_t i = 0; i < n; ++i)
+    if (job->record.done.test(i))
+      job->tasks[i].state = TaskState::Done;
+    else
+      ++job->queued;
+  job->order = next_order_++;
+  Job& ref = *job;
+  jobs[ref.spec().id] = std::move(job);
+  return ref;
+}
+
+Machine& Tables::add_machine(const std::string& name, Time now) {
+  auto& slot = machines[name];
+  if (!slot) {
+    slot = std::make_unique<Machine>();
+    slot->name = name;
+    slot->rented = now;
+    slot->idle_since = now;
+  }
+  return *slot;
+}
+
+void Tables::size_machine(Machine& m) const {
+  if (m.sized || m.type.empty()) return;
+  if (const MachineType* t = type(m.type)) {
+    m.size = t->size;
+    m.cache_gb = t->cache_gb;
+    m.sized = true;
+  }
+}
+
+Placement& Tables::place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt,
+                         Time now) {
+  Task& task = job.tasks[index];
+  if (task.state == TaskState::Queued) --job.queued;
+  if (task.state == TaskState::Unknown) {
+    --job.unknown;
+    if (TeamBook* t = team(job.spec().team)) t->used -= job.spec().need;
+  }
+  task.state = TaskState::Placed;
+  task.machine = &m;
+  ++job.placed;
+  ++job.per_zone[m.zone];
+  m.used += job.spec().need;
+  Placement p;
+  p.job = &job;
+  p.team = team(job.spec().team);
+  p.key = {job.spec().id, index};
+  p.need = job.spec().need;
+  p.attempt = attempt;
+  p.since = now;
+  p.held = true;
+  if (p.team != nullptr) p.team->used += p.need;
+  m.placements.push_back(std::move(p));
+  return m.placements.back();
+}
+
+void Tables::unhold(Machine& m, Placement& p) {
+  if (!p.held) return;
+  p.held = false;
+  m.used -= p.need;
+  if (p.team != nullptr) p.team->used -= p.need;
+  if (p.job == nullptr) return;
+  Job& job = *p.job;
+  if (p.state == PlaceState::Running || p.state == PlaceState::Saving) --job.running;
+  --job.placed;
+  if (const auto it = job.per_zone.find(m.zone); it != job.per_zone.end() && --it->second == 0)
+    job.per_zone.erase(it);
+  Task& task = job.tasks[p.key.index];
+  task.machine = nullptr;
+  if (task.state == TaskState::Placed) {
+    task.state = TaskState::Queued;
+    ++job.queued;
+    job.next_queued = std::min(job.next_queued, p.key.index);
+  }
+}
+
+void Tables::erase(Machine& m, std::size_t index) {
+  unhold(m, m.placements[index]);
+  m.placements.erase(m.placements.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+bool Tables::type_allowed(const JobSpec& s, const std::string& type) const {
+  return s.any_type || std::find(s.types.begin(), s.types.end(), type) != s.types.end();
+}
+
+bool Tables::allowed(const Job& job, const Machine& m) const {
+  const JobSpec& s = job.spec();
+  if (m.spot && !s.spot) return false;
+  if (!s.zone.empty() && s.zone != m.zone) return false;
+  if (!type_allowed(s, m.type)) return false;
+  // Tasks whose place isn't known yet could be in any zone.
+  if ((s.one_zone || s.spread) && job.unknown > 0) return false;
+  if (s.one_zone && !job.per_zone.empty() && !job.per_zone.contains(m.zone)) return false;
+  if (s.spread) {
+    const auto it = job.per_zone.find(m.zone);
+    if (it != job.per_zone.end() && it->second >= job.zone_cap()) return false;
+  }
+  return true;
+}
+
+void Tables::mark_done(Job& job, std::uint32_t index) {
+  Task& task = job.tasks[index];
+  if (!job.record.done.set(index)) return;
+  if (task.state == TaskState::Queued) --job.queued;
+  if (task.state == TaskState::Unknown) {
+    --job.unknown;
+    if (TeamBook* t = team(job.spec().team)) t->used -= job.spec().need;
+  }
+  task.state = TaskState::Done;
+  job.dirty = true;
+  if (job.spec().tasks > kInlineBits) job.dirty_pieces.insert(index / kPieceBits);
+}
+
+void Tables::unknown_to_queued(Job& job) {
+  if (job.unknown == 0) return;
+  TeamBook* t = team(job.spec().team);
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i)
+    if (job.tasks[i].state == TaskState::Unknown) {
+      job.tasks[i].state = TaskState::Queued;
+      ++job.queued;
+      if (t != nullptr) t->used -= job.spec().need;
+    }
+  job.unknown = 0;
+  job.next_queued = 0;
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/storage/tables.hpp
@@ -0,0 +1,184 @@
+// Bookkeeping of jobs, tasks, machines and quotas. Tables only: what to do is decided elsewhere.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "protocol/settings.hpp"
+#include "storage/checkpoint.hpp"
+
+namespace sailreel {
+
+struct Machine;
+struct TeamBook;
+
+enum class TaskState : std::uint8_t {
+  Queued,   // surely on no machine
+  Unknown,  // perhaps on a machine that hasn't been heard since the take-over
+  Placed,   // bound to a machine: from the decision until surely gone
+  Done
+};
+
+struct Task {
+  TaskState state = TaskState::Queued;
+  Machine* machine = nullptr;
+  Time not_before = 0;
+};
+
+struct Job {
+  JobRecord record;
+  bool committed = false;                  // its acceptance is in the checkpoint
+  Phase committed_phase = Phase::Active;   // what users may be told
+  bool started = false;                    // the checkpoint says that it may have started
+  bool dirty = false;                      // differs from the checkpoint
+  std::set<std::size_t> dirty_pieces;
+  std::uint64_t order = 0;                 // of acceptance
+  Time accepted = 0;
+  std::vector<Task> tasks;
+  std::uint32_t queued = 0, unknown = 0, placed = 0, running = 0;
+  std::uint32_t next_queued = 0;           // no task below is queued
+  std::map<std::string, std::uint32_t> per_zone;  // placed tasks
+  std::set<std::string> error_machines;
+  std::uint32_t errors = 0;
+  Time not_before = 0;
+
+  [[nodiscard]] const JobSpec& spec() const { return record.spec; }
+  [[nodiscard]] bool active() const { return record.phase == Phase::Active; }
+  /// How many tasks may be in one zone.
+  [[nodiscard]] std::uint32_t zone_cap() const {
+    return spec().spread ? (spec().tasks + 1) / 2 : spec().tasks;
+  }
+};
+
+/// A finished job, in short.
+struct FinishedJob {
+  Phase phase = Phase::Done;
+  std::uint32_t tasks = 0;
+  std::uint64_t seq = 0;
+};
+
+enum class PlaceState : std::uint8_t { Reserved, Sent, Fetching, Running, Saving, Exited };
+
+/// One attempt of a task on a machine.
+struct Placement {
+  Job* job = nullptr;  // null: not a task's present place
+  TeamBook* team = nullptr;
+  TaskKey key;
+  Resources need;
+  std::uint64_t attempt = 0;
+  PlaceState state = PlaceState::Reserved;
+  ExitCause cause = ExitCause::None;
+  std::uint64_t sent_seq = 0;  // of the report whose answer carried the start
+  std::uint32_t sends = 0;
+  Time since = 0;  // of the state
+  Time running_since = 0;
+  bool stop = false;  // is to be stopped
+  double grace_s = 0;
+  bool held = false;     // counts as the task's place, against machine and team
+  bool settled = false;  // exited, and what that means is in the checkpoint
+};
+
+struct CachedImage {
+  std::string name;
+  double gb = 0;
+};
+
+struct Machine {
+  std::string name, address, type, zone;
+  bool spot = false;
+  Resources size, used;
+  double cache_gb = 0;
+  bool sized = false;      // its type is known
+  bool listed_running = false;
+  bool reported = false;   // in this epoch, and under its token
+  bool recorded = false;   // the checkpoint lists it
+  bool record_dirty = false;
+  std::uint64_t session = 0, seq = 0;
+  Time rented = 0;         // or first heard of
+  Time heard = 0;          // last fresh report
+  Time answered = 0;       // last answer that may have renewed its lease
+  Time idle_since = 0;
+  bool draining = false;   // takes no more work
+  std::string drain_cause;
+  bool releasing = false;  // a release was or is to be sent
+  bool silent = false;
+  bool probing = false;
+  Time probe_at = 0;
+  std::uint64_t probe_session = 1;
+  std::uint32_t probe_failures = 0;
+  Time notice_until = 0;   // 0: no notice
+  std::uint32_t lapses = 0;  // sessions that ended although we answered
+  std::set<std::string> error_jobs;
+  std::vector<Placement> placements;
+  std::list<CachedImage> images;  // most recently used first
+
+  [[nodiscard]] Resources room() const {
+    Resources r = size;
+    r -= used;
+    return r;
+  }
+  [[nodiscard]] bool has_image(const std::string& image) const;
+  [[nodiscard]] bool fetching(const std::string& image) const;
+  [[nodiscard]] std::size_t fetches() const;
+  [[nodiscard]] bool empty() const { return placements.empty(); }
+  void touch_image(const std::string& image, double gb);
+  Placement* find(const TaskKey& key, std::uint64_t attempt);
+};
+
+struct TeamBook {
+  Team limits;
+  Resources used;  // by all that may be on a machine
+  /// True if one more task keeps within the limit. A limit of 0 is none.
+  [[nodiscard]] bool allows(const Resources& more) const;
+  [[nodiscard]] bool within_guarantee(const Resources& total) const;
+  /// What the team uses of its guarantee; the queues are served in the order of this.
+  [[nodiscard]] double share() const;
+};
+
+class Tables {
+ public:
+  explicit Tables(const Settings& settings);
+  void clear();
+
+  Job* job(const std::string& id);
+  Machine* machine(const std::string& name);
+  TeamBook* team(const std::string& name);
+  const MachineType* type(const std::string& name) const;
+
+  Job& add_job(JobRecord record);
+  Machine& add_machine(const std::string& name, Time now);
+  /// Gives a machine its type's size, once types are known.
+  void size_machine(Machine& m) const;
+
+  /// Binds a task to a machine, against the machine's room, the team and the zone.
+  Placement& place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, Time now);
+  /// Frees what a placement holds; the task is queued again unless it is done.
+  void unhold(Machine& m, Placement& p);
+  /// Removes the placement from the machine's list.
+  void erase(Machine& m, std::size_t index);
+  /// True if the job's tasks may start there: type, zone, kind, and its other tasks' zones.
+  [[nodiscard]] bool allowed(const Job& job, const Machine& m) const;
+  [[nodiscard]] bool type_allowed(const JobSpec& s, const std::string& type) const;
+  void mark_done(Job& job, std::uint32_t index);
+  /// Tasks that weren't found anywhere are queued.
+  void unknown_to_queued(Job& job);
+
+  std::unordered_map<std::string, std::unique_ptr<Job>> jobs;
+  std::unordered_map<std::string, FinishedJob> finished;
+  std::map<std::string, std::unique_ptr<Machine>> machines;
+  std::vector<MachineType> types;
+  std::vector<TeamBook> teams;
+
+ private:
+  std::uint64_t next_order_ = 1;
+};
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,140 @@
+#include "transport/http_client.hpp"
+
+#include <http_parser.h>
+
+#include <algorithm>
+
+#include "transport/stream.hpp"
+
+namespace sailreel {
+
+class HttpClient::Connection : public Stream {
+ public:
+  Connection(HttpClient& client, std::string address)
+      : Stream(client.loop_), client_(client), address_(std::move(address)) {
+    ++client_.open_;
+    http_parser_init(&parser_, HTTP_RESPONSE);
+    parser_.data = this;
+  }
+
+  void send(std::string request, bool keep, Done done) {
+    done_ = std::move(done);
+    keep_ = keep;
+    body_.clear();
+    if (connected_)
+      write(std::move(request));
+    else
+      waiting_ = std::move(request);
+  }
+
+ protected:
+  void on_connected() override {
+    connected_ = true;
+    write(std::move(waiting_));
+  }
+
+  void on_bytes(std::string_view bytes) override {
+    if (!done_) return close();  // bytes that nobody asked for
+    http_parser_execute(&parser_, &handlers(), bytes.data(), bytes.size());
+    if (closing()) return;
+    if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) {
+      http_parser_pause(&parser_, 0);
+      finish();
+    } else if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+      close();
+    }
+  }
+
+  void on_closed() override {
+    --client_.open_;
+    client_.busy_.erase(this);
+    if (const auto it = client_.idle_.find(address_); it != client_.idle_.end())
+      std::erase(it->second, this);
+    if (done_) {
+      auto done = std::move(done_);
+      done_ = nullptr;
+      done(0, {});
+    }
+  }
+
+ private:
+  static const http_parser_settings& handlers() {
+    static const http_parser_settings settings = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        static_cast<Connection*>(p->data)->body_.append(at, n);
+        return 0;
+      };
+      s.on_message_complete = [](http_parser* p) {
+        http_parser_pause(p, 1);
+        return 0;
+      };
+      return s;
+    }();
+    return settings;
+  }
+
+  void finish() {
+    auto done = std::move(done_);
+    done_ = nullptr;
+    const int status = parser_.status_code;
+    const std::string body = std::move(body_);
+    body_.clear();
+    client_.busy_.erase(this);
+    if (keep_ && http_should_keep_alive(&parser_) != 0)
+      client_.idle_[address_].push_back(this);
+    else
+      close();
+    done(status, body);
+  }
+
+  HttpClient& client_;
+  std::string address_, waiting_, body_;
+  http_parser parser_{};
+  Done done_;
+  bool connected_ = false, keep_ = true;
+};
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::request(const std::string& address, const std::string& method,
+                         const std::string& path, const std::string& body, std::int64_t timeout_ms,
+                         bool keep, Done done) {
+  std::string text;
+  text.reserve(128 + path.size() + body.size());
+  text.append(method).append(" ").append(path).append(" HTTP/1.1\r\nHost: ").append(address);
+  if (!keep) text.append("\r\nConnection: close");
+  if (method != "GET")
+    text.append("\r\nContent-Type: application/json\r\nContent-Length: ")
+        .append(std::to_string(body.size()));
+  text.append("\r\n\r\n").append(body);
+
+  auto& idle = idle_[address];
+  Connection* c = nullptr;
+  if (!idle.empty()) {
+    c = idle.back();
+    idle.pop_back();
+  } else {
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint || open_ >= max_connections_) return done(0, {});
+    c = new Connection(*this, address);
+    busy_[c] = EventLoop::now_ms() + timeout_ms;
+    c->send(std::move(text), keep, std::move(done));
+    c->connect(*endpoint);
+    return;
+  }
+  busy_[c] = EventLoop::now_ms() + timeout_ms;
+  c->send(std::move(text), keep, std::move(done));
+}
+
+void HttpClient::sweep() {
+  const std::int64_t now = EventLoop::now_ms();
+  std::vector<Connection*> late;
+  for (const auto& [c, until] : busy_)
+    if (until <= now) late.push_back(c);
+  for (Connection* c : late)
+    if (busy_.contains(c)) c->close();
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,165 @@
+#include "transport/http_server.hpp"
+
+#include <http_parser.h>
+
+#include <vector>
+
+#include "transport/stream.hpp"
+
+namespace sailreel {
+namespace {
+
+constexpr std::size_t kMaxUrl = 1024;
+/// Unread input that a client may pile up while its request is being answered.
+constexpr std::size_t kMaxHeld = 128 * 1024;
+
+const char* reason(int status) {
+  return http_status_str(static_cast<http_status>(status));
+}
+
+}  // namespace
+
+class HttpServer::Connection : public Stream {
+ public:
+  Connection(HttpServer& server, std::uint64_t id)
+      : Stream(server.loop_), server_(server), id_(id), last_(EventLoop::now_ms()) {
+    http_parser_init(&parser_, HTTP_REQUEST);
+    parser_.data = this;
+  }
+
+  void respond(int status, const std::string& body, int retry_after_s) {
+    if (!busy_) return;
+    busy_ = false;
+    last_ = EventLoop::now_ms();
+    std::string out;
+    out.reserve(160 + body.size());
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason(status));
+    out.append("\r\nContent-Type: application/json\r\nContent-Length: ");
+    out.append(std::to_string(body.size()));
+    if (retry_after_s > 0) out.append("\r\nRetry-After: ").append(std::to_string(retry_after_s));
+    if (!keep_) out.append("\r\nConnection: close");
+    out.append("\r\n\r\n").append(body);
+    write(std::move(out));
+    if (!keep_) {
+      drain_ = true;
+      if (backlog() == 0) close();
+      return;
+    }
+    if (!held_.empty()) {
+      std::string bytes = std::move(held_);
+      held_.clear();
+      on_bytes(bytes);
+    }
+  }
+
+  [[nodiscard]] bool idle_since(std::int64_t t) const { return (!busy_ || drain_) && last_ < t; }
+
+ protected:
+  void on_bytes(std::string_view bytes) override {
+    if (drain_) return close();
+    if (busy_) {
+      held_.append(bytes);
+      if (held_.size() > kMaxHeld) close();
+      return;
+    }
+    // `last_` isn't moved here: a client that sends a byte now and then must not hold its socket
+    // for ever.
+    const std::size_t used = http_parser_execute(&parser_, &handlers(), bytes.data(), bytes.size());
+    if (closing()) return;
+    const auto error = HTTP_PARSER_ERRNO(&parser_);
+    if (error == HPE_PAUSED) {
+      http_parser_pause(&parser_, 0);
+      held_.assign(bytes.substr(used));
+      deliver();
+    } else if (error != HPE_OK || parser_.upgrade) {
+      busy_ = true;
+      keep_ = false;
+      respond(400, "{\"error\":\"not HTTP\"}", 0);
+    }
+  }
+  void on_closed() override { server_.connections_.erase(id_); }
+
+ private:
+  static const http_parser_settings& handlers() {
+    static const http_parser_settings settings = [] {
+      http_parser_settings s;
+      http_parser_settings_init(&s);
+      s.on_message_begin = [](http_parser* p) {
+        self(p)->request_ = {};
+        return 0;
+      };
+      s.on_url = [](http_parser* p, const char* at, std::size_t n) {
+        auto& url = self(p)->request_.path;
+        url.append(at, n);
+        return url.size() > kMaxUrl ? 1 : 0;
+      };
+      s.on_body = [](http_parser* p, const char* at, std::size_t n) {
+        auto* c = self(p);
+        // An oversize body is read to its end, so that its sender gets the answer, but not kept.
+        if (c->request_.body.size() + n > c->server_.max_body_) c->request_.oversize = true;
+        if (!c->request_.oversize) c->request_.body.append(at, n);
+        return 0;
+      };
+      s.on_message_complete = [](http_parser* p) {
+        auto* c = self(p);
+        c->request_.method = http_method_str(static_cast<http_method>(p->method));
+        c->keep_ = http_should_keep_alive(p) != 0;
+        http_parser_pause(p, 1);
+        return 0;
+      };
+      return s;
+    }();
+    return settings;
+  }
+  static Connection* self(http_parser* p) { return static_cast<Connection*>(p->data); }
+
+  void deliver() {
+    busy_ = true;
+    request_.connection = id_;
+    server_.handler_(std::move(request_));
+  }
+
+  HttpServer& server_;
+  std::uint64_t id_;
+  std::int64_t last_;
+  http_parser parser_{};
+  ServerRequest request_;
+  std::string held_;
+  bool busy_ = false, keep_ = true, drain_ = false;
+};
+
+HttpServer::HttpServer(EventLoop& loop, const std::string& address, std::size_t max_connections,
+                       std::size_t max_body, std::int64_t idle_ms, Handler handler)
+    : loop_(loop),
+      max_connections_(max_connections),
+      max_body_(max_body),
+      idle_ms_(idle_ms),
+      handler_(std::move(handler)),
+      listener_(loop, address, [this](uv_stream_t* s) { accept(s); }) {}
+
+HttpServer::~HttpServer() = default;
+
+void HttpServer::accept(uv_stream_t* server) {
+  auto* c = new Connection(*this, next_++);
+  connections_.emplace(next_ - 1, c);
+  if (uv_accept(server, c->raw()) != 0 || connections_.size() > max_connections_)
+    c->close();
+  else
+    c->start();
+}
+
+void HttpServer::respond(std::uint64_t connection, int status, const std::string& body,
+                         int retry_after_s) {
+  const auto it = connections_.find(connection);
+  if (it != connections_.end()) it->second->respond(status, body, retry_after_s);
+}
+
+void HttpServer::sweep() {
+  const std::int64_t limit = EventLoop::now_ms() - idle_ms_;
+  std::vector<Connection*> idle;
+  for (const auto& [id, c] : connections_)
+    if (c->idle_since(limit)) idle.push_back(c);
+  for (Connection* c : idle) c->close();
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/transport/stream.hpp
@@ -0,0 +1,111 @@
+// One TCP connection: reads, writes with back-pressure, closes once.
+#pragma once
+
+#include <uv.h>
+
+#include <string>
+#include <string_view>
+
+#include "protocol/settings.hpp"
+#include "transport/loop.hpp"
+
+namespace sailreel {
+
+/// Lives on the heap and deletes itself once libuv has closed it. Owners drop their pointer in
+/// on_closed.
+class Stream {
+ public:
+  explicit Stream(EventLoop& loop) {
+    uv_tcp_init(loop.raw(), &tcp_);
+    tcp_.data = this;
+  }
+  virtual ~Stream() = default;
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  uv_stream_t* raw() { return reinterpret_cast<uv_stream_t*>(&tcp_); }
+
+  void connect(const Endpoint& to) {
+    sockaddr_in address{};
+    auto* request = new uv_connect_t;
+    request->data = this;
+    if (uv_ip4_addr(to.host.c_str(), to.port, &address) != 0 ||
+        uv_tcp_connect(request, &tcp_, reinterpret_cast<const sockaddr*>(&address),
+                       [](uv_connect_t* r, int status) {
+                         auto* self = static_cast<Stream*>(r->data);
+                         delete r;
+                         if (self->closing_) return;
+                         if (status != 0) return self->close();
+                         self->start();
+                         self->on_connected();
+                       }) != 0) {
+      delete request;
+      close();
+    }
+  }
+
+  /// Begins to read.
+  void start() {
+    uv_tcp_nodelay(&tcp_, 1);
+    uv_read_start(
+        raw(),
+        [](uv_handle_t*, std::size_t, uv_buf_t* buffer) {
+          // One loop, one read at a time: every connection can share the buffer.
+          static char shared[64 * 1024];
+          *buffer = uv_buf_init(shared, sizeof shared);
+        },
+        [](uv_stream_t* s, ssize_t n, const uv_buf_t* buffer) {
+          auto* self = static_cast<Stream*>(s->data);
+          if (self->closing_ || n == 0) return;
+          if (n < 0) return self->close();
+          self->on_bytes({buffer->base, static_cast<std::size_t>(n)});
+        });
+  }
+
+  void write(std::string bytes) {
+    if (closing_) return;
+    uv_buf_t now = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+    const int sent = uv_stream_get_write_queue_size(raw()) == 0 ? uv_try_write(raw(), &now, 1) : 0;
+    if (sent == static_cast<int>(bytes.size())) return;
+    auto* pending = new Pending;
+    pending->bytes = std::move(bytes);
+    if (sent > 0) pending->bytes.erase(0, static_cast<std::size_t>(sent));
+    pending->request.data = pending;
+    uv_buf_t rest = uv_buf_init(pending->bytes.data(), static_cast<unsigned>(pending->bytes.size()));
+    if (uv_write(&pending->request, raw(), &rest, 1, [](uv_write_t* r, int status) {
+          auto* stream = static_cast<Stream*>(r->handle->data);
+          delete static_cast<Pending*>(r->data);
+          if (status != 0) stream->close();
+        }) != 0) {
+      delete pending;
+      close();
+    }
+  }
+
+  /// Bytes accepted for writing and not yet handed to the system.
+  [[nodiscard]] std::size_t backlog() const { return tcp_.write_queue_size; }
+  [[nodiscard]] bool closing() const { return closing_; }
+
+  void close() {
+    if (closing_) return;
+    closing_ = true;
+    on_closed();
+    uv_close(reinterpret_cast<uv_handle_t*>(&tcp_),
+             [](uv_handle_t* h) { delete static_cast<Stream*>(h->data); });
+  }
+
+ protected:
+  virtual void on_connected() {}
+  virtual void on_bytes(std::string_view bytes) = 0;
+  virtual void on_closed() = 0;
+
+ private:
+  struct Pending {
+    uv_write_t request{};
+    std::string bytes;
+  };
+  uv_tcp_t tcp_{};
+  bool closing_ = false;
+};
+
+}  // namespace sailreel
