Fix: look-ups and a candidate no longer share a picture; finished jobs keep their short record

Finished jobs were also rewritten in the long form when their shard was next written, and so came back as unfinished after a take-over.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -251,6 +251,10 @@
   };
   void place_all();
   bool place_job(Job& job);
+  void unplace(Job& job, std::uint64_t first_attempt);
+  std::uint64_t attempt_number();
+  static constexpr unsigned kAttemptBits = 28;
+  static constexpr std::uint64_t kAttemptMask = (std::uint64_t{1} << kAttemptBits) - 1;
   Machine* choose(const Job& job);
   [[nodiscard]] bool usable(const Machine& m) const;
   [[nodiscard]] std::vector<Job*> queue_order(Priority priority);
@@ -323,7 +327,7 @@
   };
   std::map<std::uint64_t, Forwarded> forwarded_;
   std::uint64_t next_forward_ = 1;
-  Image image_;
+  Image image_, loading_;
   bool image_loaded_ = false;
   std::uint64_t image_revision_ = 0;
   struct Lookup {
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -160,6 +160,7 @@
         log(Log::Level::Info, "event=elected");
         image_ = Image{};
         image_loaded_ = false;
+        loading_ = Image{};
         load("", 0);
       },
       true);
@@ -180,7 +181,7 @@
           if (clock_.now >= lease_deadline_) return step_down("checkpoint not readable in time");
           return load(from, revision);
         }
-        for (const StateItem& item : r.items) image_.apply(item);
+        for (const StateItem& item : r.items) loading_.apply(item);
         if (r.more && !r.items.empty()) return load(r.items.back().key, r.revision);
         begin_rebuild();
       },
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -148,7 +148,6 @@
 }
 
 void Core::look_up(const Origin& origin, const std::string& id) {
-  // A candidate may be about to lead, and reads the checkpoint for itself.
   lookups_.push_back({origin, id, clock_.now});
   if (!refreshing_ && clock_.now >= next_refresh_) refresh();
 }
@@ -163,6 +162,9 @@
     for (const Lookup& l : asked) lead_query({l.origin, UserOp::Query, l.id, {}});
     return;
   }
+  // A candidate is about to know whether it leads. Its reads of the checkpoint and a look-up's must
+  // not share a picture: a look-up once found the emptied one, and told a user 404.
+  if (role_ != Role::Follower) return;
   refreshing_ = true;
   lookups_served_ = std::move(lookups_);
   lookups_.clear();
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -20,7 +20,7 @@
     why = "unknown team";
     return true;
   }
-  const double n = s.kind == JobKind::Service ? s.tasks : 1;
+  const double n = s.kind == JobKind::Array ? 1 : s.tasks;
   constexpr double kSlack = 1e-6;
   if ((team->limits.gpus_max > 0 && s.need.gpus * n > team->limits.gpus_max + kSlack) ||
       (team->limits.cpus_max > 0 && s.need.cpus * n > team->limits.cpus_max + kSlack)) {
@@ -100,6 +100,16 @@
 bool Core::place_job(Job& job) {
   const Time now = clock_.now;
   TeamBook* team = tables_.team(job.spec().team);
+  const bool gang = job.spec().kind == JobKind::Gang;
+  if (gang && job.placed + job.unknown > 0) {
+    // A gang that has lost a task is no use: the rest gives way, and it starts again as a whole.
+    if (job.placed > 0 && job.unknown == 0)
+      for (auto& [name, m] : tables_.machines)
+        for (Placement& p : m->placements)
+          if (p.job == &job && p.held && !p.stop) stop_task(p, grace_for(job));
+    return false;
+  }
+  const std::uint64_t first_attempt = next_attempt_;
   std::uint32_t left = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
     Task& task = job.tasks[i];
@@ -111,13 +121,17 @@
       placement_dirty_ = true;  // looked at again by a later pass
       continue;
     }
-    if (team == nullptr || !team->allows(job.spec().need)) return false;
+    if (team == nullptr || !team->allows(job.spec().need)) {
+      if (gang) unplace(job, first_attempt);
+      return false;
+    }
     Machine* m = choose(job);
     if (m == nullptr) {
+      if (gang) unplace(job, first_attempt);
       left = job.queued;
       break;
     }
-    tables_.place(job, i, *m, (epoch_ << 24) + next_attempt_++, now);
+    tables_.place(job, i, *m, attempt_number(), now);
     m->idle_since = 0;
     if (!job.record.started) {
       job.record.started = true;
@@ -147,6 +161,20 @@
   return false;
 }
 
+// Takes back what the present pass has placed of a gang that doesn't fit as a whole.
+void Core::unplace(Job& job, std::uint64_t first_attempt) {
+  for (auto& [name, m] : tables_.machines)
+    for (std::size_t i = m->placements.size(); i-- > 0;) {
+      const Placement& p = m->placements[i];
+      if (p.job == &job && p.state == PlaceState::Reserved &&
+          (p.attempt & kAttemptMask) >= first_attempt)
+        tables_.erase(*m, i);
+    }
+}
+
+// Rises across epochs with nothing remembered.
+std::uint64_t Core::attempt_number() { return (epoch_ << kAttemptBits) + next_attempt_++; }
+
 Machine* Core::choose(const Job& job) {
   const JobSpec& s = job.spec();
   Machine* best = nullptr;
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -1,4 +1,6 @@
 // What a new leader does before it places anything that may already run.
+#include <utility>
+
 #include "coordination/core.hpp"
 #include "protocol/worker_codec.hpp"
 
@@ -11,8 +13,7 @@
   rebuilding_ = true;
   next_attempt_ = 1;
   next_rental_ = 1;
-  Image image = std::move(image_);
-  image_ = Image{};
+  Image image = std::exchange(loading_, Image{});
   if (image.unreadable > 0)
     log(Log::Level::Error, "event=checkpoint_unreadable values=", image.unreadable);
 
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -235,7 +235,6 @@
 }
 
 void Core::note_finished(Job& job, std::uint32_t index) {
-  if (job.spec().kind != JobKind::Array) return;
   tables_.mark_done(job, index);
   if (job.active() && job.record.done.count() == job.spec().tasks) job.record.phase = Phase::Done;
   touch(job);
@@ -260,7 +259,7 @@
     return;
   }
   Task& task = job->tasks[p.key.index];
-  if (p.cause == ExitCause::Done && job->spec().kind == JobKind::Array) {
+  if (p.cause == ExitCause::Done && job->spec().kind != JobKind::Service) {
     if (task.state == TaskState::Done && !was_held) {
       // Known already: either committed, or in a round to come that settles it.
       p.settled = job->record.done.test(p.key.index) && !job->dirty;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -156,6 +156,7 @@
           text = encode_record(job->record);
         } else if (const auto f = tables_.finished.find(id); f != tables_.finished.end()) {
           JobRecord record;
+          record.final = true;
           record.spec.id = id;
           record.spec.tasks = f->second.tasks;
           record.phase = f->second.phase;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -15,7 +15,7 @@
 
 inline Time ms(double seconds) { return static_cast<Time>(seconds * 1000.0); }
 
-enum class JobKind : std::uint8_t { Array, Service };
+enum class JobKind : std::uint8_t { Array, Service, Gang };
 /// In falling order of importance.
 enum class Priority : std::uint8_t { Production, High, Normal, Low };
 constexpr std::size_t kPriorities = 4;
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -43,6 +43,8 @@
     s.kind = JobKind::Array;
   } else if (word == "service") {
     s.kind = JobKind::Service;
+  } else if (word == "gang") {
+    s.kind = JobKind::Gang;
   } else {
     return fail("rig");
   }
