--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -251,10 +251,9 @@
   };
   void place_all();
   bool place_job(Job& job);
-  void unplace(Job& job, std::uint64_t first_attempt);
+  void unplace(Job& job);
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
-  static constexpr std::uint64_t kAttemptMask = (std::uint64_t{1} << kAttemptBits) - 1;
   Machine* choose(const Job& job);
   [[nodiscard]] bool usable(const Machine& m) const;
   [[nodiscard]] std::vector<Job*> queue_order(Priority priority);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -109,7 +109,8 @@
           if (p.job == &job && p.held && !p.stop) stop_task(p, grace_for(job));
     return false;
   }
-  const std::uint64_t first_attempt = next_attempt_;
+  // A gang's tasks find each other by their attempt, which they share.
+  const std::uint64_t attempt = gang ? attempt_number() : 0;
   std::uint32_t left = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
     Task& task = job.tasks[i];
@@ -122,16 +123,16 @@
       continue;
     }
     if (team == nullptr || !team->allows(job.spec().need)) {
-      if (gang) unplace(job, first_attempt);
+      if (gang) unplace(job);
       return false;
     }
     Machine* m = choose(job);
     if (m == nullptr) {
-      if (gang) unplace(job, first_attempt);
+      if (gang) unplace(job);
       left = job.queued;
       break;
     }
-    tables_.place(job, i, *m, attempt_number(), now);
+    tables_.place(job, i, *m, gang ? attempt : attempt_number(), now);
     m->idle_since = 0;
     if (!job.record.started) {
       job.record.started = true;
@@ -162,13 +163,11 @@
 }
 
 // Takes back what the present pass has placed of a gang that doesn't fit as a whole.
-void Core::unplace(Job& job, std::uint64_t first_attempt) {
+void Core::unplace(Job& job) {
   for (auto& [name, m] : tables_.machines)
     for (std::size_t i = m->placements.size(); i-- > 0;) {
       const Placement& p = m->placements[i];
-      if (p.job == &job && p.state == PlaceState::Reserved &&
-          (p.attempt & kAttemptMask) >= first_attempt)
-        tables_.erase(*m, i);
+      if (p.job == &job && p.state == PlaceState::Reserved) tables_.erase(*m, i);
     }
 }
 
