--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -254,7 +254,7 @@
   void unplace(Job& job);
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
-  Machine* choose(const Job& job);
+  Machine* choose(const Job& job, bool may_queue_fetch);
   [[nodiscard]] bool usable(const Machine& m) const;
   [[nodiscard]] std::vector<Job*> queue_order(Priority priority);
   void note_guarantees();
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -111,7 +111,7 @@
   }
   // A gang's tasks find each other by their attempt, which they share.
   const std::uint64_t attempt = gang ? attempt_number() : 0;
-  std::uint32_t left = 0;
+  std::uint32_t left = 0, waiting = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
     Task& task = job.tasks[i];
     if (task.state != TaskState::Queued) {
@@ -126,10 +126,18 @@
       if (gang) unplace(job);
       return false;
     }
-    Machine* m = choose(job);
+    Machine* m = choose(job, gang);
+    if (m == nullptr && !gang) {
+      // Room there is, but its machine is busy fetching: that room is kept, and no machine rented.
+      if (Machine* later = choose(job, true)) {
+        claims_[later] += job.spec().need;
+        ++waiting;
+        continue;
+      }
+    }
     if (m == nullptr) {
       if (gang) unplace(job);
-      left = job.queued;
+      left = job.queued - waiting;
       break;
     }
     tables_.place(job, i, *m, gang ? attempt : attempt_number(), now);
@@ -174,19 +182,23 @@
 // Rises across epochs with nothing remembered.
 std::uint64_t Core::attempt_number() { return (epoch_ << kAttemptBits) + next_attempt_++; }
 
-Machine* Core::choose(const Job& job) {
+Machine* Core::choose(const Job& job, bool may_queue_fetch) {
   const JobSpec& s = job.spec();
   Machine* best = nullptr;
   std::array<double, 5> best_score{};
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
-    if (!usable(m) || claims_.contains(&m)) continue;
-    const Resources room = m.room();
+    if (!usable(m)) continue;
+    Resources room = m.room();
+    if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
     if (!s.need.fits_in(room) || !tables_.allowed(job, m)) continue;
     const double same = static_cast<double>(
         std::count_if(m.placements.begin(), m.placements.end(),
                       [&](const Placement& p) { return p.job == &job && p.held; }));
     const double image = m.has_image(s.image) ? 0 : m.fetching(s.image) ? 1 : 2;
+    // Images fetched at the same time share the machine's rate, so that one after the other they
+    // come no later, and the first much sooner.
+    if (image == 2 && !may_queue_fetch && m.fetches() > 0) continue;
     const double failed = job.error_machines.contains(name) ? 1 : 0;
     // Work that may use cheap machines leaves the ordinary ones to work that may not.
     const double dear = s.spot && !m.spot ? 1 : 0;
