--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t kMaxRelease = 100;
 /// A machine that takes this many times its type's boot time isn't waited for any more, and one
 /// that takes this many times is given up.
-constexpr double kLateBoot = 1.6, kDeadBoot = 4.5;
+constexpr double kLateBoot = 1.3, kDeadBoot = 4.5;
 
 std::string place_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -168,18 +168,18 @@
     }
     if (const MachineType* t = cheapest(u, false)) demand[{t->name, false}] += u.total;
   }
-  // Headroom for services to come, as a share of what such work uses.
+  // Headroom for services to come, as a share of what such work uses or waits for.
+  for (const Unmet& u : unmet_)
+    if (!u.spot) used += u.total;
   if (!tables_.types.empty() && (used.gpus > 0 || used.cpus > 0)) {
     Unmet any;
     any.each = {0, 0, 0};
     if (const MachineType* t = cheapest(any, false)) {
-      Resources room = size;
-      room -= used;
+      // What waits has no room: beside it, all of the headroom is to be added.
       Resources& d = demand[{t->name, false}];
-      const Resources want{used.cpus * options_.headroom_ratio, used.gpus * options_.headroom_ratio,
-                           used.memory_gb * options_.headroom_ratio};
-      if (want.gpus > room.gpus) d.gpus += want.gpus - room.gpus;
-      if (want.cpus > room.cpus) d.cpus += want.cpus - room.cpus;
+      const double share = 1 + options_.headroom_ratio;
+      d.gpus = std::max(d.gpus, used.gpus * share - size.gpus);
+      d.cpus = std::max(d.cpus, used.cpus * share - size.cpus);
     }
   }
   for (const auto& [kind, total] : demand) {
