--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -774,7 +774,7 @@
   const std::uint32_t count = 6 + random_(6);
   for (std::uint32_t n = 0; n < count; ++n) {
     const Time when = plan_.troubles_from + random_(span);
-    const std::uint32_t kind = random_(12);
+    const std::uint32_t kind = random_(14);
     at(when, [this, kind] {
       const auto node = random_(3);
       const int lead = leader();
@@ -820,6 +820,11 @@
             kill_machine(machine);
           }
           break;
+        case 12:  // one machine, from all controllers
+        case 13:
+          for (std::size_t i = 0; i < 3; ++i)
+            if (!machine.empty()) cut(node_name(i), machine, span_ms, hold);
+          break;
         case 9:
           if (!machine.empty()) hang_machine(machine, span_ms);
           break;
