--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -337,7 +337,6 @@
   std::vector<Lookup> lookups_, lookups_served_;
   bool refreshing_ = false;
   Time next_refresh_ = 0;
-  std::unordered_map<std::string, Time> turned_away_;  // workers sent to the leader, and when
 
   // rounds
   std::uint64_t head_seq_ = 0, head_version_ = 0;
@@ -353,12 +352,13 @@
   std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> shard_of_;  // and reserve
   struct Round {
     StateCall call;
-    std::uint64_t seq = 0;
+    std::uint64_t seq = 0, retries = 0;
     std::map<std::string, std::string> tail;
     struct Change {
       std::string id;
       Phase phase = Phase::Active;
-      bool final = false, started = false;
+      bool final = false;
+      std::uint32_t started = 0;
     };
     std::vector<Change> jobs;
     std::vector<Waiter> waiters;
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -144,7 +144,6 @@
       return true;
     });
   if (!lookups_.empty() && !refreshing_ && now >= next_refresh_) refresh();
-  if (turned_away_.size() > 4096) turned_away_.clear();
 }
 
 void Core::look_up(const Origin& origin, const std::string& id) {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -142,8 +142,8 @@
     }
     tables_.place(job, i, *m, gang ? attempt : attempt_number(), now);
     m->idle_since = 0;
-    if (!job.record.started) {
-      job.record.started = true;
+    if (job.record.started <= i) {
+      job.record.started = i + 1;
       touch(job);
     }
   }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -34,16 +34,10 @@
     const int sibling = leader_sibling();
     if (sibling < 0 || in.origin.kind == Origin::Kind::Peer)
       return answer(in.origin, 503, encode_error("no leader"));
-    // A worker that comes back although it was sent to the leader can't reach it: its reports are
-    // handed on, so that a cut between two zones doesn't cost it its tasks.
-    auto& since = turned_away_[r.machine];
-    if (since != 0 && now - since < 2 * worker_lease()) {
-      since = now;
-      return forward(in.origin, UserOp::Report, {}, in.raw, static_cast<std::size_t>(sibling));
-    }
-    since = now;
-    return answer(in.origin, 421,
-                  encode_redirect(settings_.siblings[static_cast<std::size_t>(sibling)].name));
+    // Handed on, not sent away: a worker that can't reach the leader itself, as when two zones are
+    // apart, lost its tasks while it was sent to and fro; and after a take-over the workers of the
+    // nodes that stay needn't look for the new leader.
+    return forward(in.origin, UserOp::Report, {}, in.raw, static_cast<std::size_t>(sibling));
   }
   if (r.token > epoch_) {
     step_down("a worker has seen a higher token");
@@ -53,7 +47,7 @@
     // The worker's tasks live on for a bounded time while we can't tell whether we still lead.
     if (now >= lease_deadline_ + report_grace())
       return answer(in.origin, 503, encode_error("lease lapsed"));
-    if (Machine* m = tables_.machine(r.machine)) m->answered = now;
+    if (Machine* m = tables_.machine(r.machine)) m->answered = m->heard = now;
     return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0,
                   lease_deadline_ + report_grace());
   }
@@ -323,7 +317,7 @@
   for (Placement& p : m.placements) {
     if (out.size() >= kMaxCommands) break;
     if (p.state != PlaceState::Reserved || p.job == nullptr || !p.job->active() ||
-        !p.job->committed || !p.job->started)
+        !p.job->committed || p.key.index >= p.job->started)
       continue;
     p.state = PlaceState::Sent;
     p.sent_seq = report_seq;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -252,7 +252,8 @@
   }
   if (reply.status != 409) {
     round_retry_ = clock_.now + (reply.status == 0 ? 0 : 100);
-    log(Log::Level::Info, "event=round_retry seq=", round_.seq, " status=", reply.status);
+    if (round_.retries++ == 0)
+      log(Log::Level::Info, "event=round_retry seq=", round_.seq, " status=", reply.status);
     return;
   }
   // Either an earlier copy of it was carried out, or another leads.
--- a/src/storage/checkpoint.cpp
+++ b/src/storage/checkpoint.cpp
@@ -30,7 +30,7 @@
 }
 
 bool decode_record(const json::Value& v, JobRecord& r) {
-  constexpr unsigned kFinal = 4, kActive = 22;
+  constexpr unsigned kFinal = 4, kActive = 23;
   if (!v.IsArray() || (v.Size() != kFinal && v.Size() != kActive)) return false;
   const auto number = [&](unsigned i) { return v[i].IsNumber() ? v[i].GetDouble() : 0.0; };
   const auto whole = [&](unsigned i) { return v[i].IsUint64() ? v[i].GetUint64() : 0; };
@@ -57,7 +57,6 @@
   s.one_zone = (flags & 1) != 0;
   s.spread = (flags & 2) != 0;
   s.spot = (flags & 4) != 0;
-  r.started = (flags & 8) != 0;
   s.estimate_s = number(16);
   s.checkpoint_s = number(17);
   s.save_s = number(18);
@@ -65,6 +64,7 @@
   r.submitted_wall_ms = static_cast<std::int64_t>(whole(20));
   r.done = Bitmap(s.tasks);
   r.done.merge_hex(0, as_text(v[21]));
+  r.started = static_cast<std::uint32_t>(whole(22));
   return true;
 }
 
@@ -145,8 +145,7 @@
       w.EndArray();
     }
     json::put(w, s.zone);
-    w.Uint((s.one_zone ? 1U : 0U) | (s.spread ? 2U : 0U) | (s.spot ? 4U : 0U) |
-           (r.started ? 8U : 0U));
+    w.Uint((s.one_zone ? 1U : 0U) | (s.spread ? 2U : 0U) | (s.spot ? 4U : 0U));
     w.Double(s.estimate_s);
     w.Double(s.checkpoint_s);
     w.Double(s.save_s);
@@ -157,6 +156,7 @@
     w.Uint64(static_cast<std::uint64_t>(r.submitted_wall_ms));
     json::put(w, s.kind != JobKind::Service && s.tasks <= kInlineBits ? r.done.hex(0, kInlineBits)
                                                                      : std::string());
+    w.Uint(r.started);
   }
   w.EndArray();
   return json::text(b);
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -71,8 +71,8 @@
   std::int64_t submitted_wall_ms = 0;
   /// Over, and surely none of its tasks is left on any machine.
   bool final = false;
-  /// A start of one of its tasks may have been sent. Written before that is.
-  bool started = false;
+  /// Starts may have been sent for the tasks below this number. Written before they are.
+  std::uint32_t started = 0;
   Bitmap done;
 };
 
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -37,7 +37,7 @@
   JobRecord record;
   bool committed = false;                  // its acceptance is in the checkpoint
   Phase committed_phase = Phase::Active;   // what users may be told
-  bool started = false;                    // the checkpoint says that it may have started
+  std::uint32_t started = 0;               // as the checkpoint has it: tasks below may have started
   bool dirty = false;                      // differs from the checkpoint
   std::set<std::size_t> dirty_pieces;
   std::uint64_t order = 0;                 // of acceptance
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -123,6 +123,9 @@
                    const std::string& body);
   void direct(std::size_t node, std::uint64_t call, const std::string& address,
               const std::string& body);
+  void execute_direct(std::size_t node, std::uint64_t call, const std::string& name,
+                      const std::string& body, std::uint64_t life);
+  void housekeeping();
   void user_tick(std::size_t u);
   void user_answer(std::size_t u, std::uint64_t call, UserOp op, int status,
                    const std::string& body);
