--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -9,6 +9,8 @@
 constexpr std::size_t kMaxRelease = 100;
 /// A machine that takes this many times its type's boot time isn't waited for any more, and one
 /// that takes this many times is given up.
+/// How much of the room that running arrays will have left by then is counted on.
+constexpr double kRelief = 0.5;
 constexpr double kLateBoot = 1.3, kDeadBoot = 4.5;
 
 std::string place_key(const std::string& type, const std::string& zone, bool spot) {
@@ -159,7 +161,28 @@
     }
     return best;
   };
-  for (const Unmet& u : unmet_) {
+  // Arrays' tasks end by themselves: by the time that a machine has booted, some of the room that
+  // they take is free for those that wait.
+  Resources relief;
+  for (const auto& [name, m] : tables_.machines) {
+    const MachineType* t = tables_.type(m->type);
+    if (t == nullptr || !usable(*m)) continue;
+    for (const Placement& p : m->placements)
+      if (p.held && p.job != nullptr && p.job->spec().kind != JobKind::Service) {
+        const double share = kRelief * t->boot_s / (t->boot_s + p.job->spec().estimate_s);
+        relief += {p.need.cpus * share, p.need.gpus * share, p.need.memory_gb * share};
+      }
+  }
+  for (Unmet u : unmet_) {
+    if (u.spot && u.tasks > 0) {
+      double left = u.tasks;
+      if (u.each.gpus > 0) left = std::min(left, relief.gpus / u.each.gpus);
+      if (u.each.cpus > 0) left = std::min(left, relief.cpus / u.each.cpus);
+      left = std::floor(std::max(0.0, left));
+      const Resources served{u.each.cpus * left, u.each.gpus * left, u.each.memory_gb * left};
+      relief -= served;
+      u.total -= served;
+    }
     if (u.spot) {
       if (const MachineType* t = cheapest(u, true)) {
         demand[{t->name, true}] += u.total;
