--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -396,6 +396,7 @@
   Time next_placement_ = 0;
   std::vector<Unmet> unmet_;
   std::unordered_map<std::string, bool> guaranteed_;
+  std::unordered_map<std::string, Priority> image_priority_;  // the highest of its jobs
   /// Room on machines that the present pass has promised to tasks of higher priority.
   std::unordered_map<const Machine*, Resources> claims_;
 };
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -79,6 +79,10 @@
   claims_.clear();
   unmet_.clear();
   note_guarantees();
+  for (const auto& [id, job] : tables_.jobs) {
+    const auto [it, fresh] = image_priority_.try_emplace(job->spec().image, job->spec().priority);
+    if (!fresh) it->second = std::min(it->second, job->spec().priority);
+  }
   for (std::size_t p = 0; p < kPriorities; ++p) {
     std::map<TeamBook*, std::vector<Job*>> queues;
     for (Job* job : queue_order(static_cast<Priority>(p)))
@@ -185,7 +189,7 @@
 Machine* Core::choose(const Job& job, bool may_queue_fetch) {
   const JobSpec& s = job.spec();
   Machine* best = nullptr;
-  std::array<double, 5> best_score{};
+  std::array<double, 6> best_score{};
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (!usable(m)) continue;
@@ -204,11 +208,17 @@
     const double dear = s.spot && !m.spot ? 1 : 0;
     // Replicas of a service keep apart, so that a machine's end takes few of them.
     const double together = s.kind == JobKind::Service ? same : 0;
+    // Room beside images of more important work is left to that, as long as there is other room.
+    double reserved = 0;
+    for (const CachedImage& c : m.images)
+      if (const auto i = image_priority_.find(c.name);
+          i != image_priority_.end() && i->second < s.priority)
+        ++reserved;
     // Among holders the fullest, so that machines empty out; otherwise the roomiest, and of these
     // the one that is busy with the fewest fetches, as they share its rate.
     const double fill = image < 2 ? room.gpus + room.cpus / 1000
                                   : static_cast<double>(m.fetches()) * 100 - room.gpus;
-    const std::array<double, 5> score{failed, image, dear, together, fill};
+    const std::array<double, 6> score{failed, image, dear, reserved, together, fill};
     if (best == nullptr || score < best_score) {
       best = &m;
       best_score = score;
