--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -252,6 +252,7 @@
   void place_all();
   bool place_job(Job& job);
   void unplace(Job& job);
+  [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m) const;
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
   Machine* choose(const Job& job, bool may_queue_fetch);
@@ -261,7 +262,7 @@
   bool never_fits(const JobSpec& spec, std::string& why) const;
 
   // preemption.cpp
-  bool make_room(const Job& job);
+  bool make_room(const Job& job, bool warm_only = false);
   [[nodiscard]] bool may_stop(const Job& job, const Placement& p) const;
   void stop_task(Placement& p, double grace_s);
   void stop_job(Job& job);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -131,6 +131,10 @@
       return false;
     }
     Machine* m = choose(job, gang);
+    if (m != nullptr && !gang && late_if_cold(job, *m) && make_room(job, true)) {
+      ++waiting;
+      continue;
+    }
     if (m == nullptr && !gang) {
       // Room there is, but its machine is busy fetching: that room is kept, and no machine rented.
       if (Machine* later = choose(job, true)) {
@@ -174,6 +178,18 @@
   return false;
 }
 
+// True if fetching the image there takes longer than the class's aim on starting allows.
+bool Core::late_if_cold(const Job& job, const Machine& m) const {
+  const JobSpec& s = job.spec();
+  if (m.has_image(s.image) || m.fetching(s.image)) return false;
+  const MachineType* t = tables_.type(m.type);
+  if (t == nullptr || t->fetch_gb_per_s <= 0) return false;
+  for (const Objective& o : settings_.objectives)
+    if (o.kind == "wait" && o.job_class == s.job_class)
+      return s.image_gb / t->fetch_gb_per_s + settings_.workers.report_s > o.within_s;
+  return false;
+}
+
 // Takes back what the present pass has placed of a gang that doesn't fit as a whole.
 void Core::unplace(Job& job) {
   for (auto& [name, m] : tables_.machines)
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -45,7 +45,7 @@
 }
 
 // Promises room for one more task of the job on some machine, stopping others there if need be.
-bool Core::make_room(const Job& job) {
+bool Core::make_room(const Job& job, bool warm_only) {
   const JobSpec& s = job.spec();
   Machine* best = nullptr;
   std::vector<Placement*> best_victims;
@@ -53,6 +53,7 @@
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (!usable(m) || !tables_.allowed(job, m)) continue;
+    if (warm_only && !m.has_image(s.image)) continue;
     Resources room = m.room();
     if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
     for (const Placement& p : m.placements)
@@ -63,11 +64,14 @@
       std::vector<Placement*> candidates;
       for (Placement& p : m.placements)
         if (may_stop(job, p)) candidates.push_back(&p);
-      // The least important first, and of these what has run shortest.
+      // The least important first; of arrays what has run shortest, as that work is lost; of
+      // replicas what has run longest, as a start that is undone at once was none.
       std::sort(candidates.begin(), candidates.end(), [](const Placement* a, const Placement* b) {
         if (a->job->spec().priority != b->job->spec().priority)
           return a->job->spec().priority > b->job->spec().priority;
-        return a->running_since > b->running_since;
+        const bool array = a->job->spec().kind != JobKind::Service;
+        if (array != (b->job->spec().kind != JobKind::Service)) return array;
+        return array ? a->running_since > b->running_since : a->running_since < b->running_since;
       });
       for (Placement* p : candidates) {
         if (s.need.fits_in(room)) break;
