--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -178,6 +178,7 @@
   void load(std::string from, std::uint64_t revision);
   void renew();
   void step_down(const char* why);
+  void abdicate();
   void peer_beat(std::size_t sibling, const PeerBeat& beat);
   void send_beats();
   [[nodiscard]] int leader_sibling() const;  // -1: unknown, or ourselves
@@ -307,11 +308,12 @@
   bool renewing_ = false;
   bool watching_ = false;
   Time watch_retry_ = 0, campaign_at_ = kNever;
+  Time stand_back_until_ = 0;  // after an abdication
   std::string leader_name_;
   Time next_beat_ = 0;
   struct SiblingView {
     Time heard = -kNever;
-    bool leading = false;
+    bool leading = false, hears_leader = false;
     std::uint64_t epoch = 0;
   };
   std::vector<SiblingView> sibling_views_;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -73,7 +73,8 @@
       Time rank = 0;
       for (const Sibling& s : settings_.siblings)
         if (s.name < settings_.name) ++rank;
-      campaign_at_ = clock_.now + rank * 40 + static_cast<Time>(random_(30));
+      campaign_at_ = std::max(clock_.now + rank * 40 + static_cast<Time>(random_(30)),
+                              stand_back_until_);
     }
     return;
   }
@@ -260,11 +261,22 @@
   send_beats();
 }
 
+// Gives the lease back, so that another can take it at once, and leaves it to the others for a while.
+void Core::abdicate() {
+  StateCall revoke;
+  revoke.kind = StateCall::Kind::Revoke;
+  revoke.lease = lease_;
+  call_state(revoke, [](const StateReply&) {}, true);
+  stand_back_until_ = clock_.now + worker_lease();
+  step_down("no worker is heard");
+}
+
 void Core::peer_beat(std::size_t sibling, const PeerBeat& beat) {
   SiblingView& v = sibling_views_[sibling];
   v.heard = clock_.now;
   v.leading = beat.leading;
   v.epoch = beat.epoch;
+  v.hears_leader = beat.hears_leader;
   if (role_ == Role::Leader && beat.leading && beat.epoch > epoch_)
     step_down("a sibling leads under a higher epoch");
   else if (role_ == Role::Follower)
@@ -277,7 +289,7 @@
   for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
     PeerMessage m;
     m.kind = PeerMessage::Kind::Beat;
-    m.beat = {settings_.name, epoch_, leading};
+    m.beat = {settings_.name, epoch_, leading, leader_sibling() >= 0};
     out_.push_back(SendPeer{i, std::move(m)});
   }
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -333,12 +333,25 @@
 void Core::machine_tick() {
   const Time now = clock_.now;
   const Time silent_after = report_interval() * 5 / 2 + 500;
-  std::size_t silent = 0, up = 0;
+  const Time unheard_after = std::max(silent_after, worker_lease() * 3 / 10);
+  std::size_t silent = 0, up = 0, fresh = 0;
   for (const auto& [name, m] : tables_.machines) {
-    up += m->reported ? 1 : 0;
+    if (!m->reported) continue;
+    ++up;
     silent += m->silent ? 1 : 0;
+    fresh += now - m->heard <= unheard_after ? 1 : 0;
   }
-  std::vector<Machine*> gone;
+  // Once, a leader that had lost all workers and siblings, but not the state service, kept its lease
+  // while every task died (recorded incident on tbilisi-listings). Another may still reach them.
+  // Where no sibling hears us either, a few workers that still come through change nothing of that.
+  const bool alone =
+      std::none_of(sibling_views_.begin(), sibling_views_.end(), [&](const SiblingView& v) {
+        return v.hears_leader && now - v.heard <= unheard_after;
+      });
+  if (in_command(now) && !settings_.siblings.empty() && up > 0 &&
+      now - led_since_ > unheard_after && (fresh == 0 || (alone && fresh * 4 <= up)))
+    return abdicate();
+  const bool few = silent <= std::max<std::size_t>(2, up / 10);
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (!m.reported) {
@@ -352,7 +365,9 @@
     if (!m.silent) continue;
     if (now >= expiry(m)) {
       session_lost(m, "lease expired");
-      if (!m.releasing) release(m, "lease expired");
+      // When many are silent, the network is rather at fault: they may come back, warm, and are
+      // waited for a little.
+      if (few || now >= expiry(m) + 2 * worker_lease()) release(m, "lease expired");
       continue;
     }
     if (!in_command(now)) continue;
@@ -360,7 +375,7 @@
     // A machine that doesn't answer either way is most likely dead. Returning it proves that its
     // tasks are gone, sooner than its lease would. When many fall silent at once, the fault is
     // rather between us and them, and their leases are waited for.
-    if (m.probe_failures >= 2 && !m.releasing && silent <= std::max<std::size_t>(2, up / 10))
+    if (m.probe_failures >= 2 && !m.releasing && few)
       release(m, "silent");
   }
 }
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -12,7 +12,7 @@
               "peer frames are little-endian and copied as they lie in memory");
 
 constexpr std::uint32_t kMagic = 0x4c525331;  // "1SRL"
-constexpr std::uint8_t kVersion = 1;
+constexpr std::uint8_t kVersion = 2;
 constexpr std::size_t kMaxText = 256;
 /// A request's body and its id, with room for the fixed part.
 constexpr std::size_t kMaxPayload = kMaxBody + 1024;
@@ -26,7 +26,7 @@
 };
 struct BeatBody {
   std::uint64_t epoch;
-  std::uint8_t leading;
+  std::uint8_t leading, hears_leader;
   std::uint16_t name_length;
 };
 struct RequestBody {
@@ -42,7 +42,7 @@
 };
 #pragma pack(pop)
 static_assert(sizeof(FrameHeader) == 12);
-static_assert(sizeof(BeatBody) == 11);
+static_assert(sizeof(BeatBody) == 12);
 static_assert(sizeof(RequestBody) == 15);
 static_assert(sizeof(AnswerBody) == 16);
 
@@ -75,7 +75,7 @@
       BeatBody b;
       if (!take(payload, b) || b.name_length > kMaxText || payload.size() != b.name_length)
         return false;
-      m.beat = {std::string(payload), b.epoch, b.leading != 0};
+      m.beat = {std::string(payload), b.epoch, b.leading != 0, b.hears_leader != 0};
       return true;
     }
     case PeerMessage::Kind::Request: {
@@ -105,6 +105,7 @@
     case PeerMessage::Kind::Beat:
       return frame(m.kind,
                    BeatBody{m.beat.epoch, static_cast<std::uint8_t>(m.beat.leading),
+                            static_cast<std::uint8_t>(m.beat.hears_leader),
                             static_cast<std::uint16_t>(m.beat.node.size())},
                    m.beat.node);
     case PeerMessage::Kind::Request:
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -10,11 +10,11 @@
 
 namespace sailreel {
 
-/// Said by every node to every other: who it is, and whether it leads.
+/// Said by every node to every other: who it is, whether it leads, and whether it hears a leader.
 struct PeerBeat {
   std::string node;
   std::uint64_t epoch = 0;
-  bool leading = false;
+  bool leading = false, hears_leader = false;
 };
 /// A user's request or a worker's report, handed on to the leader.
 struct PeerRequest {
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -156,7 +156,7 @@
   answer.kind = PeerMessage::Kind::Answer;
   answer.answer = {78, 503, 1, "{}"};
   PeerMessage beat;
-  beat.beat = {"node-0", 5, true};
+  beat.beat = {"node-0", 5, true, true};
   const std::string bytes = encode_peer(request) + encode_peer(answer) + encode_peer(beat);
   pcg32 random(3);
   PeerReader reader;
@@ -170,12 +170,12 @@
   ASSERT_EQ(out.size(), 3U);
   EXPECT_EQ(out[0].request.body.size(), 60'000U);
   EXPECT_EQ(out[1].answer.status, 503);
-  EXPECT_TRUE(out[2].beat.leading);
+  EXPECT_TRUE(out[2].beat.leading && out[2].beat.hears_leader);
 }
 
 TEST(PeerFrames, DamagedStreamsAreClosedNotRead) {
   PeerMessage beat;
-  beat.beat = {"node-0", 5, true};
+  beat.beat = {"node-0", 5, true, false};
   const std::string good = encode_peer(beat);
   pcg32 random(4);
   for (std::size_t n = 0; n < good.size(); ++n) {
@@ -185,7 +185,7 @@
     EXPECT_FALSE(truncated.broken());
   }
   // Wrong magic, version, kind, and lengths that don't agree.
-  for (const std::size_t byte : {0U, 4U, 5U, 8U, 11U, 21U}) {
+  for (const std::size_t byte : {0U, 4U, 5U, 8U, 11U, 22U}) {
     std::string bad = good;
     bad[byte] = static_cast<char>(bad[byte] ^ 0x41);
     PeerReader reader;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -132,6 +132,28 @@
   EXPECT_EQ(stops, 0) << "replicas were lost and had to be started again";
 }
 
+// Recorded incident: the leader lost workers and siblings, but not the state service, so it kept its
+// lease while every worker's ran out.
+TEST(Incident, ALeaderThatHearsNoWorkerGivesWay) {
+  World world(quiet(8));
+  world.run_until(1'000);
+  world.submit(service("job-1", 4));
+  world.run_until(40'000);
+  const int old_leader = world.leader();
+  ASSERT_GE(old_leader, 0);
+  const auto name = "node-" + std::to_string(old_leader);
+  for (int i = 0; i < 3; ++i)
+    if (i != old_leader) world.cut(name, "node-" + std::to_string(i), 60'000, true);
+  for (const auto& m : world.machines_up()) world.cut(name, m, 60'000, true);
+  int starts = 0;
+  world.on_command = [&](const std::string&, const Command& c) {
+    starts += c.op == Command::Op::Start ? 1 : 0;
+  };
+  world.run_until(95'000);
+  EXPECT_EQ(starts, 0) << "replicas were lost and had to be started again";
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
 // An outage of the state service that outlasts a worker's lease takes no task with it.
 TEST(Incident, AnOutageOfTheStateServiceKeepsTasksAlive) {
   World world(quiet(4));
