--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -54,7 +54,7 @@
   /// Length of the leader's lease, as a share of the workers' lease.
   double leader_lease_ratio = 0.25;
   /// Ordinary room kept free for work to come, as a share of the room in use.
-  double headroom_ratio = 0.15;
+  double headroom_ratio = 0.20;
   /// How long a machine stays without work before it is returned, as a share of its boot time.
   double idle_ratio = 0.6;
   /// Share of the state service's budgets that a leader uses.
