--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -238,7 +238,9 @@
   void note_finished(Job& job, std::uint32_t index);
   [[nodiscard]] Time expiry(const Machine& m) const;
   [[nodiscard]] Time report_grace() const;
-  void probe(Machine& m);
+  void note_fetch_begun(Machine& m, const JobSpec& spec);
+  void note_fetch_ended(Machine& m, const std::string& image);
+  [[nodiscard]] std::size_t fetch_limit() const;
 
   // placement.cpp
   struct Unmet {
@@ -399,6 +401,7 @@
   Time next_placement_ = 0;
   std::vector<Unmet> unmet_;
   std::unordered_map<std::string, bool> guaranteed_;
+  int fetch_votes_ = 0;  // above 0: images fetched at the same time share the rate
   std::unordered_map<std::string, Priority> image_priority_;  // the highest of its jobs
   /// Room on machines that the present pass has promised to tasks of higher priority.
   std::unordered_map<const Machine*, Resources> claims_;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -216,9 +216,7 @@
         std::count_if(m.placements.begin(), m.placements.end(),
                       [&](const Placement& p) { return p.job == &job && p.held; }));
     const double image = m.has_image(s.image) ? 0 : m.fetching(s.image) ? 1 : 2;
-    // Images fetched at the same time share the machine's rate, so that one after the other they
-    // come no later, and the first much sooner.
-    if (image == 2 && !may_queue_fetch && m.fetches() > 0) continue;
+    if (image == 2 && !may_queue_fetch && m.fetches() >= fetch_limit()) continue;
     const double failed = job.error_machines.contains(name) ? 1 : 0;
     // Work that may use cheap machines leaves the ordinary ones to work that may not.
     const double dear = s.spot && !m.spot ? 1 : 0;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -1,4 +1,6 @@
 // Workers' reports: what they say of tasks, and when a task is surely gone.
+#include <cmath>
+
 #include "coordination/core.hpp"
 #include "protocol/user_codec.hpp"
 #include "protocol/worker_codec.hpp"
@@ -153,6 +155,7 @@
     if (job != nullptr) settle_job(*job);
   }
   m.idle_since = clock_.now;
+  m.fetching_now.clear();
   placement_dirty_ = true;
 }
 
@@ -222,6 +225,7 @@
   if (p->job != nullptr && p->held && on(after) != on(before)) p->job->running += on(after) ? 1 : -1;
   if (on(after) && !on(before)) {
     p->running_since = now;
+    if (p->job != nullptr) note_fetch_ended(m, p->job->spec().image);
     if (p->job != nullptr) m.touch_image(p->job->spec().image, p->job->spec().image_gb);
     log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", t.key.job, "/",
         t.key.index, " attempt=", t.attempt);
@@ -321,6 +325,7 @@
       continue;
     p.state = PlaceState::Sent;
     p.sent_seq = report_seq;
+    note_fetch_begun(m, p.job->spec());
     ++p.sends;
     p.since = clock_.now;
     out.push_back({Command::Op::Start, p.key, p.attempt, 0});
@@ -330,6 +335,44 @@
   return out;
 }
 
+void Core::note_fetch_begun(Machine& m, const JobSpec& s) {
+  const MachineType* t = tables_.type(m.type);
+  if (t == nullptr || t->fetch_gb_per_s <= 0 || m.has_image(s.image)) return;
+  for (const Fetch& f : m.fetching_now)
+    if (f.image == s.image) return;
+  // A fetch that nobody waits for any more is given up; ours end with the list's oldest entries.
+  constexpr std::size_t kMost = 16;
+  if (m.fetching_now.size() >= kMost) m.fetching_now.erase(m.fetching_now.begin());
+  m.fetching_now.push_back({s.image, clock_.now, s.image_gb / t->fetch_gb_per_s, 0});
+}
+
+// Learns whether images fetched at the same time share a machine's rate: the documents say that they
+// may, and both was seen. Of two that were begun together, the later tells: it took its own time, or
+// that of both.
+void Core::note_fetch_ended(Machine& m, const std::string& image) {
+  const auto it = std::find_if(m.fetching_now.begin(), m.fetching_now.end(),
+                               [&](const Fetch& f) { return f.image == image; });
+  if (it == m.fetching_now.end()) return;
+  const Fetch ended = *it;
+  m.fetching_now.erase(it);
+  const double took = static_cast<double>(clock_.now - ended.since) / 1000.0;
+  for (Fetch& f : m.fetching_now)
+    if (std::abs(f.since - ended.since) < report_interval()) f.beside_s += ended.alone_s;
+  // Too little beside it to tell the one from the other.
+  if (ended.beside_s < ended.alone_s / 2 || took <= 0) return;
+  const double as_alone = std::abs(std::log(took / ended.alone_s));
+  const double as_shared = std::abs(std::log(took / (ended.alone_s + ended.beside_s)));
+  fetch_votes_ = std::clamp(fetch_votes_ + (as_shared < as_alone ? 1 : -1), -5, 5);
+  log(Log::Level::Debug, "event=fetch_compared machine=", m.name, " image=", image,
+      " took_ms=", clock_.now - ended.since, " votes=", fetch_votes_);
+}
+
+// How many images a machine is given to fetch at the same time. Where they share the rate, one after
+// the other comes no later and the first sooner; until that is known two, which is how it is learnt.
+std::size_t Core::fetch_limit() const {
+  return fetch_votes_ > 0 ? 1 : fetch_votes_ < 0 ? 8 : 2;
+}
+
 void Core::machine_tick() {
   const Time now = clock_.now;
   const Time silent_after = report_interval() * 5 / 2 + 500;
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -91,6 +91,14 @@
   double gb = 0;
 };
 
+/// An image that a machine is fetching, as far as we know.
+struct Fetch {
+  std::string image;
+  Time since = 0;
+  double alone_s = 0;   // how long it would take with the machine's rate for itself
+  double beside_s = 0;  // the same of those that were begun with it and have come before it
+};
+
 struct Machine {
   std::string name, address, type, zone;
   bool spot = false;
@@ -119,6 +127,7 @@
   std::set<std::string> error_jobs;
   std::vector<Placement> placements;
   std::list<CachedImage> images;  // most recently used first
+  std::vector<Fetch> fetching_now;
 
   [[nodiscard]] Resources room() const {
     Resources r = size;
