--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -75,6 +75,7 @@
       Machine& m = tables_.add_machine(r.name, now);
       m.address = r.address;
       m.recorded = true;
+      m.images.assign(r.images.begin(), r.images.end());
       m.heard = now;
       m.answered = now;
     }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -249,6 +249,8 @@
   if (on(after) && !on(before)) {
     p->running_since = now;
     if (p->job != nullptr) note_fetch_ended(m, p->job->spec().image);
+    if (p->job != nullptr && m.recorded && !m.has_image(p->job->spec().image))
+      dirty_machine_shards_.insert(machine_shard(m.name));
     if (p->job != nullptr) m.touch_image(p->job->spec().image, p->job->spec().image_gb);
     log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", t.key.job, "/",
         t.key.index, " attempt=", t.attempt);
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -83,8 +83,13 @@
     std::vector<MachineRecord> list;
     for (const auto& [name, m] : tables_.machines)
       if (machine_shard(name) == *it && (m->recorded || m->record_dirty))
-        list.push_back({name, m->address});
+        list.push_back({name, m->address, {m->images.begin(), m->images.end()}});
     std::string value = encode_machines(list);
+    if (value.size() > hard_limit) {
+      // Images are worth knowing after a take-over, but only the machines have to be known.
+      for (MachineRecord& record : list) record.images.clear();
+      value = encode_machines(list);
+    }
     if (!room(value.size())) break;
     ++ops;
     bytes += value.size() + 64;
--- a/src/storage/checkpoint.cpp
+++ b/src/storage/checkpoint.cpp
@@ -8,7 +8,7 @@
 namespace sailreel {
 namespace {
 
-constexpr std::size_t kMachinesPerShard = 32;
+constexpr std::size_t kMachinesPerShard = 8;
 
 std::string numbered(const char* prefix, std::size_t n) {
   char buffer[64];
@@ -196,6 +196,10 @@
     w.StartArray();
     json::put(w, m.name);
     json::put(w, m.address);
+    for (const auto& image : m.images) {
+      json::put(w, image.name);
+      w.Double(image.gb);
+    }
     w.EndArray();
   }
   w.EndArray();
@@ -267,7 +271,12 @@
     list.clear();
     if (const json::Value* m = json::member(doc, "m"); m != nullptr && m->IsArray())
       for (const auto& v : m->GetArray())
-        if (v.IsArray() && v.Size() == 2) list.push_back({as_text(v[0]), as_text(v[1])});
+        if (v.IsArray() && v.Size() >= 2) {
+          MachineRecord r{as_text(v[0]), as_text(v[1]), {}};
+          for (rapidjson::SizeType i = 2; i + 1 < v.Size(); i += 2)
+            if (v[i + 1].IsNumber()) r.images.push_back({as_text(v[i]), v[i + 1].GetDouble()});
+          list.push_back(std::move(r));
+        }
     return;
   }
   const bool is_head = key == kHeadKey;
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -87,8 +87,14 @@
 std::string encode_leader(const LeaderRecord& leader);
 std::optional<LeaderRecord> decode_leader(std::string_view value);
 
+struct CachedImage {
+  std::string name;
+  double gb = 0;
+};
+
 struct MachineRecord {
   std::string name, address;
+  std::vector<CachedImage> images;  // most recently used first; a hint, not a promise
 };
 std::string encode_machines(const std::vector<MachineRecord>& machines);
 
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -86,11 +86,6 @@
   bool settled = false;  // exited, and what that means is in the checkpoint
 };
 
-struct CachedImage {
-  std::string name;
-  double gb = 0;
-};
-
 /// An image that a machine is fetching, as far as we know.
 struct Fetch {
   std::string image;
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -83,6 +83,19 @@
   EXPECT_EQ(image.unreadable, 1U);
 }
 
+TEST(Checkpoint, MachinesKeepTheirImages) {
+  Image image;
+  image.apply(item(machines_key(3), encode_machines({{"m-000025", "10.0.0.1:1", {{"img-1", 42.5}}},
+                                                     {"m-000026", "10.0.0.2:1", {}}})));
+  const auto& list = image.machines.at(3);
+  ASSERT_EQ(list.size(), 2U);
+  ASSERT_EQ(list[0].images.size(), 1U);
+  EXPECT_EQ(list[0].images[0].name, "img-1");
+  EXPECT_EQ(list[0].images[0].gb, 42.5);
+  EXPECT_EQ(list[1].address, "10.0.0.2:1");
+  EXPECT_EQ(machine_shard("m-000025"), 3U);
+}
+
 TEST(Checkpoint, AFinishedJobIsShort) {
   JobRecord r = sample(100'000);
   r.phase = Phase::Done;
