--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -94,6 +94,18 @@
   EXPECT_TRUE(only("forgotten"));
 }
 
+TEST_F(CheckerTest, ForgottenByAllPolls) {
+  JobSpec other = spec_;
+  other.id = "job-2";
+  checker_.submitted(other);
+  checker_.told("job-1", "pending", 0);
+  checker_.told("job-2", "pending", 88'000);
+  checker_.unanswered("job-1", 89'000);
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.unanswered("job-1", 91'000);
+  EXPECT_TRUE(only("forgotten"));
+}
+
 TEST_F(CheckerTest, Invented) {
   checker_.told("job-2", "pending", 0);
   EXPECT_TRUE(only("invented"));
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -34,7 +34,8 @@
     if (it == jobs_.end() || !it->second.spec) return broken("invented", id);
     JobBook& j = it->second;
     j.accepted = true;
-    j.last_known = now;
+    j.last_known = last_answer_ = now;
+    j.failing = false;
     if (j.final_state.empty()) {
       if (state == "done" && j.completed.size() < j.spec->tasks) broken("not_done", id);
       if (state == "cancelled" && !j.asked) broken("went_back", id + " cancelled by nobody");
@@ -53,6 +54,17 @@
       broken("forgotten", id + " answered " + std::to_string(status));
   }
 
+  /// A poll of a job failed. For one job alone to fail for so long is to have forgotten it.
+  void unanswered(const std::string& id, Time now) {
+    constexpr Time kFor = 90'000, kOthersWithin = 10'000;
+    JobBook& j = jobs_[id];
+    if (!j.accepted || j.failing) return;
+    if (now - j.last_known > kFor && now - last_answer_ < kOthersWithin) {
+      j.failing = true;
+      broken("forgotten", id + " unanswered");
+    }
+  }
+
   /// A task has its image and is on its machine from now on.
   void started(const TaskKey& key, const Place& place, Time now) {
     JobBook& j = jobs_[key.job];
@@ -132,7 +144,7 @@
  private:
   struct JobBook {
     std::optional<JobSpec> spec;
-    bool asked = false, accepted = false;
+    bool asked = false, accepted = false, failing = false;
     std::string final_state;
     Time final_at = 0, last_known = 0;
     std::set<std::uint32_t> completed;
@@ -142,7 +154,7 @@
   }
 
   std::vector<Team> teams_;
-  Time cancel_, next_ = 0;
+  Time cancel_, next_ = 0, last_answer_ = 0;
   std::map<std::string, JobBook> jobs_;
   std::map<std::string, std::map<std::string, Place>> on_;
   std::map<std::string, Resources> used_;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -660,6 +660,8 @@
       checker_.told(u.spec.id, state, now_);
       if (state == "done" || state == "cancelled") u.over = true;
     }
+  } else if (op == UserOp::Query && status != 404) {
+    checker_.unanswered(u.spec.id, now_);
   } else if (status == 404 || status == 400 || status == 422) {
     checker_.refused(u.spec.id, status, op != UserOp::Submit);
   }
