--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -120,11 +120,6 @@
     return left_ >= std::min(n, burst_);
   }
   void take(double n) { left_ -= n; }
-  bool try_take(double n, Time now) {
-    if (!has(n, now)) return false;
-    take(n);
-    return true;
-  }
 
  private:
   double rate_, burst_, left_;
@@ -178,6 +173,7 @@
   void load(std::string from, std::uint64_t revision);
   void renew();
   void step_down(const char* why);
+  void revoke(std::uint64_t lease);
   void abdicate();
   void peer_beat(std::size_t sibling, const PeerBeat& beat);
   void send_beats();
@@ -298,8 +294,8 @@
   std::unordered_map<std::uint64_t, CloudThen> cloud_calls_;
   std::unordered_map<std::uint64_t, WorkerThen> worker_calls_;
   Budget state_budget_, write_budget_, cloud_budget_;
-  std::uint64_t term_ =
-      0;  // raised when we begin or end to lead; continuations of an older one end
+  /// Raised when we begin or end to lead; continuations of an older one end.
+  std::uint64_t term_ = 0;
 
   // election
   Role role_ = Role::Follower;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -142,11 +142,7 @@
         if (r.status != 200) {
           // Without an answer it may still be carried out, even late. Giving the lease back first
           // makes it fail whenever it arrives.
-          StateCall revoke;
-          revoke.kind = StateCall::Kind::Revoke;
-          revoke.lease = lease;
-          call_state(
-              revoke, [](const StateReply&) {}, true);
+          revoke(lease);
           return step_down(r.status == 409 ? "another was first" : "claim not answered");
         }
         epoch_ = epoch;
@@ -263,14 +259,18 @@
   send_beats();
 }
 
+void Core::revoke(std::uint64_t lease) {
+  StateCall call;
+  call.kind = StateCall::Kind::Revoke;
+  call.lease = lease;
+  call_state(
+      call, [](const StateReply&) {}, true);
+}
+
 // Gives the lease back, so that another can take it at once, and leaves it to the others for a
 // while.
 void Core::abdicate() {
-  StateCall revoke;
-  revoke.kind = StateCall::Kind::Revoke;
-  revoke.lease = lease_;
-  call_state(
-      revoke, [](const StateReply&) {}, true);
+  revoke(lease_);
   stand_back_until_ = clock_.now + worker_lease();
   step_down("no worker is heard");
 }
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -9,9 +9,9 @@
 constexpr std::size_t kMaxRelease = 100;
 /// A machine that takes this many times its type's boot time isn't waited for any more, and one
 /// that takes this many times is given up.
-/// How much of the room that running arrays will have left by then is counted on.
-constexpr double kRelief = 0.5;
 constexpr double kLateBoot = 1.3, kDeadBoot = 4.5;
+/// How much of the room that running arrays will have left once a machine has booted is counted on.
+constexpr double kRelief = 0.5;
 
 std::string place_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -248,10 +248,13 @@
     p->job->running += on(after) ? 1 : -1;
   if (on(after) && !on(before)) {
     p->running_since = now;
-    if (p->job != nullptr) note_fetch_ended(m, p->job->spec().image);
-    if (p->job != nullptr && m.recorded && !m.has_image(p->job->spec().image))
-      dirty_machine_shards_.insert(machine_shard(m.name));
-    if (p->job != nullptr) m.touch_image(p->job->spec().image, p->job->spec().image_gb);
+    if (p->job != nullptr) {
+      const JobSpec& spec = p->job->spec();
+      note_fetch_ended(m, spec.image);
+      if (m.recorded && !m.has_image(spec.image))
+        dirty_machine_shards_.insert(machine_shard(m.name));
+      m.touch_image(spec.image, spec.image_gb);
+    }
     log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", t.key.job, "/",
         t.key.index, " attempt=", t.attempt);
   }
