--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -39,6 +39,12 @@
   return s;
 }
 
+void count_starts(World& world, int& starts) {
+  world.on_command = [&starts](const std::string&, const Command& c) {
+    starts += c.op == Command::Op::Start ? 1 : 0;
+  };
+}
+
 // The paper's interleaving: a task finishes, the leader is lost before the checkpoint says so, and
 // reports of the old epoch come late. Nothing may run twice, and nothing may be lost.
 TEST(Interleaving, FinishThenLeaderLossThenLateAcknowledgement) {
@@ -123,13 +129,11 @@
   world.cut(name, "state", 60'000, true);
   for (int i = 0; i < 3; ++i)
     if (i != old_leader) world.cut(name, "node-" + std::to_string(i), 60'000, true);
-  int stops = 0;
-  world.on_command = [&](const std::string&, const Command& c) {
-    stops += c.op == Command::Op::Start ? 1 : 0;
-  };
+  int starts = 0;
+  count_starts(world, starts);
   world.run_until(95'000);
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
-  EXPECT_EQ(stops, 0) << "replicas were lost and had to be started again";
+  EXPECT_EQ(starts, 0) << "replicas were lost and had to be started again";
 }
 
 // Recorded incident: the leader lost workers and siblings, but not the state service, so it kept
@@ -148,9 +152,7 @@
     if (i != old_leader) world.cut(name, "node-" + std::to_string(i), 60'000, true);
   for (const auto& m : world.machines_up()) world.cut(name, m, 60'000, true);
   int starts = 0;
-  world.on_command = [&](const std::string&, const Command& c) {
-    starts += c.op == Command::Op::Start ? 1 : 0;
-  };
+  count_starts(world, starts);
   world.run_until(95'000);
   EXPECT_EQ(starts, 0) << "replicas were lost and had to be started again";
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
@@ -163,9 +165,7 @@
   world.submit(service("job-1", 4));
   world.run_until(40'000);
   int starts = 0;
-  world.on_command = [&](const std::string&, const Command& c) {
-    starts += c.op == Command::Op::Start ? 1 : 0;
-  };
+  count_starts(world, starts);
   world.state_outage(16'000);
   world.run_until(90'000);
   EXPECT_EQ(starts, 0);
