--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -252,6 +252,7 @@
   void place_all();
   bool place_job(Job& job);
   void unplace(Job& job);
+  void note_unmet(const JobSpec& spec, const TeamBook& team, std::uint32_t tasks);
   [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m) const;
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
@@ -397,7 +398,8 @@
   // placement
   bool placement_dirty_ = false;
   Time next_placement_ = 0;
-  std::vector<Unmet> unmet_;
+  std::vector<Unmet> unmet_;  // by kind, in the order of their first jobs
+  std::unordered_map<const TeamBook*, Resources> unmet_of_team_;
   std::unordered_map<std::string, bool> guaranteed_;
   int fetch_votes_ = 0;  // above 0: images fetched at the same time share the rate
   std::unordered_map<std::string, Priority> image_priority_;  // the highest of its jobs
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -5,7 +5,6 @@
 namespace {
 /// Reports bunch up; one pass serves those that arrive within this share of a report's interval.
 constexpr Time kPassesPerReport = 40;
-constexpr std::size_t kMaxUnmetKinds = 64;
 }  // namespace
 
 bool Core::usable(const Machine& m) const {
@@ -80,6 +79,7 @@
   next_placement_ = now + std::max<Time>(10, report_interval() / kPassesPerReport);
   claims_.clear();
   unmet_.clear();
+  unmet_of_team_.clear();
   note_guarantees();
   for (const auto& [id, job] : tables_.jobs) {
     const auto [it, fresh] = image_priority_.try_emplace(job->spec().image, job->spec().priority);
@@ -158,28 +158,36 @@
     }
   }
   if (left == 0) return true;
-  // What the team's limit allows beyond what it has is what more machines could serve.
-  const Resources& need = job.spec().need;
-  std::uint32_t wanted = left;
-  if (team->limits.gpus_max > 0 && need.gpus > 0)
-    wanted = std::min<std::uint32_t>(
-        wanted, static_cast<std::uint32_t>((team->limits.gpus_max - team->used.gpus) / need.gpus));
-  if (unmet_.size() < kMaxUnmetKinds && wanted > 0) {
-    Unmet u;
-    u.total = {need.cpus * wanted, need.gpus * wanted, need.memory_gb * wanted};
-    u.each = need;
-    u.tasks = wanted;
-    u.spot = job.spec().spot;
-    u.zone = job.spec().zone;
-    u.any_type = job.spec().any_type;
-    u.types = job.spec().types;
-    unmet_.push_back(std::move(u));
-  }
+  note_unmet(job.spec(), *team, left);
   for (std::uint32_t i = 0; i < left && make_room(job); ++i) {
   }
   return false;
 }
 
+// Adds to what more machines could serve: what the team's limit allows beyond what it has and what
+// of its is counted already. Jobs of one kind are counted together: a list that was cut off after
+// so many jobs once hid most of a cold start from the sizing of the fleet.
+void Core::note_unmet(const JobSpec& s, const TeamBook& team, std::uint32_t tasks) {
+  Resources& counted = unmet_of_team_[&team];
+  std::uint32_t wanted = tasks;
+  if (team.limits.gpus_max > 0 && s.need.gpus > 0)
+    wanted = std::min<std::uint32_t>(
+        wanted, static_cast<std::uint32_t>(std::max(
+                    0.0, (team.limits.gpus_max - team.used.gpus - counted.gpus) / s.need.gpus)));
+  if (wanted == 0) return;
+  const Resources total{s.need.cpus * wanted, s.need.gpus * wanted, s.need.memory_gb * wanted};
+  counted += total;
+  auto it = std::find_if(unmet_.begin(), unmet_.end(), [&](const Unmet& u) {
+    return u.spot == s.spot && u.zone == s.zone && u.any_type == s.any_type && u.types == s.types &&
+           u.each.gpus == s.need.gpus && u.each.cpus == s.need.cpus &&
+           u.each.memory_gb == s.need.memory_gb;
+  });
+  if (it == unmet_.end())
+    it = unmet_.insert(unmet_.end(), Unmet{{}, 0, s.spot, s.zone, s.types, s.any_type, s.need});
+  it->total += total;
+  it->tasks += wanted;
+}
+
 // True if fetching the image there takes longer than the class's aim on starting allows.
 bool Core::late_if_cold(const Job& job, const Machine& m) const {
   const JobSpec& s = job.spec();
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -212,6 +212,25 @@
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
 }
 
+// Only the first 64 waiting jobs used to be counted: most of a cold start was hidden from the sizing
+// of the fleet, and work of the lowest priority had no machines rented until all else ran.
+TEST(Size, AColdStartRentsForAllThatWaits) {
+  World world(quiet(10));
+  for (int n = 0; n < 90; ++n) {
+    JobSpec spec = service("job-" + std::to_string(100 + n), 1);
+    spec.need = {1, 0.2, 5};
+    world.submit(spec);
+  }
+  world.submit(array("job-1", 8, 20));
+  // Before any machine is up: 90 x 0.2 GPUs of services need three machines of 8, with headroom;
+  // the array, which comes last, needs a cheap one.
+  world.run_until(6'000);
+  std::size_t ordinary = 0, cheap = 0;
+  for (const auto& [name, m] : world.cloud().machines) ++(m.spot ? cheap : ordinary);
+  EXPECT_GE(ordinary, 3U);
+  EXPECT_GE(cheap, 1U);
+}
+
 // A job of the largest size goes through the checkpoint and a take-over.
 TEST(Size, AJobOfAHundredThousandTasks) {
   World world(quiet(6));
