--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -278,6 +278,11 @@
   void rent(const std::string& type, const std::string& zone, bool spot, std::uint32_t count);
   void send_rentals();
   void return_idle();
+  [[nodiscard]] std::pair<Resources, Resources> ordinary_room() const;
+  void retire(const std::function<bool(const Machine&)>& spare);
+  [[nodiscard]] const Machine* warm_room(
+      const Placement& p, const Machine& from,
+      const std::unordered_map<const Machine*, Resources>& promised) const;
   void send_releases();
   void release(Machine& m, const char* why);
   void drain(Machine& m, const char* why);
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -12,6 +12,12 @@
 constexpr double kLateBoot = 1.3, kDeadBoot = 4.5;
 /// How much of the room that running arrays will have left once a machine has booted is counted on.
 constexpr double kRelief = 0.5;
+/// Beyond so many times the headroom machines are returned; between the two nothing changes.
+constexpr double kReturnHeadroom = 1.5;
+/// One in so many machines may be on its way to be emptied.
+constexpr std::size_t kRetiringShare = 32;
+/// A start that is stopped sooner counts as none (protocol, "How aims are counted").
+constexpr Time kCountedStart = 30'000;
 
 std::string place_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -130,14 +136,7 @@
     by_zone[{r.request.type, r.request.spot}][r.request.zone] += static_cast<int>(r.request.count);
   }
 
-  // Free ordinary room, and what work that needs it uses; what may be stopped counts as free.
-  Resources used, size;
-  for (const auto& [name, m] : tables_.machines) {
-    if (!usable(*m) || m->spot) continue;
-    size += m->size;
-    for (const Placement& p : m->placements)
-      if (p.held && (p.job == nullptr || !p.job->spec().spot)) used += p.need;
-  }
+  auto [size, used] = ordinary_room();
 
   // For each kind of waiting work, the cheapest type that takes it.
   std::map<std::pair<std::string, bool>, Resources> demand;
@@ -323,13 +322,12 @@
 
 void Core::return_idle() {
   const Time now = clock_.now;
-  Resources used, size;
-  for (const auto& [name, m] : tables_.machines) {
-    if (!usable(*m) || m->spot) continue;
-    size += m->size;
-    for (const Placement& p : m->placements)
-      if (p.held && (p.job == nullptr || !p.job->spec().spot)) used += p.need;
-  }
+  auto [size, used] = ordinary_room();
+  const double keep = 1 + kReturnHeadroom * options_.headroom_ratio;
+  const auto spare = [&](const Machine& m) {
+    return size.gpus - m.size.gpus >= used.gpus * keep &&
+           size.cpus - m.size.cpus >= used.cpus * keep;
+  };
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (m.releasing) continue;
@@ -342,21 +340,107 @@
       continue;
     }
     if (!m.empty()) continue;
-    if (m.draining) {
-      release(m, m.drain_cause.c_str());
+    if (m.draining || m.retiring) {
+      release(m, m.retiring ? "retired" : m.drain_cause.c_str());
       continue;
     }
     if (rebuilding_ || m.idle_since == 0 ||
         now - m.idle_since < ms(t->boot_s * options_.idle_ratio))
       continue;
     if (!m.spot) {
-      const double keep = 1 + 1.5 * options_.headroom_ratio;
-      if (size.gpus - m.size.gpus < used.gpus * keep || size.cpus - m.size.cpus < used.cpus * keep)
-        continue;
+      if (!spare(m)) continue;
       size -= m.size;
     }
     release(m, "idle");
   }
+  retire(spare);
+}
+
+// The size of the ordinary machines that take work, and what work that needs them uses; what may be
+// stopped counts as free.
+std::pair<Resources, Resources> Core::ordinary_room() const {
+  Resources size, used;
+  for (const auto& [name, m] : tables_.machines) {
+    if (!usable(*m) || m->spot) continue;
+    if (!m->retiring) size += m->size;
+    for (const Placement& p : m->placements)
+      if (p.held && (p.job == nullptr || !p.job->spec().spot)) used += p.need;
+  }
+  return {size, used};
+}
+
+// When more is up than is needed, the machine whose replicas are fewest is emptied: replicas end
+// here and there, and no machine would empty by itself. Each goes where its image lies already.
+void Core::retire(const std::function<bool(const Machine&)>& spare) {
+  const Time now = clock_.now;
+  const bool wanted = std::any_of(unmet_.begin(), unmet_.end(), [](auto& u) { return !u.spot; });
+  std::size_t up = 0, retiring = 0;
+  for (auto& [name, m] : tables_.machines) {
+    if (m->spot || !usable(*m)) continue;
+    ++up;
+    if (wanted) m->retiring = false;
+    retiring += m->retiring ? 1 : 0;
+  }
+  if (wanted || rebuilding_ || retiring > up / kRetiringShare) return;
+  const auto movable = [&](const Placement& p) {
+    return p.job != nullptr && p.job->active() && p.state == PlaceState::Running && !p.stop &&
+           now - p.running_since > kCountedStart;
+  };
+  // The fewest moves that empty a machine, as long as they are for less than half of it.
+  Machine* best = nullptr;
+  std::size_t best_moves = 0;
+  for (auto& [name, ptr] : tables_.machines) {
+    Machine& m = *ptr;
+    if (m.spot || !usable(m) || m.retiring || m.empty() || !spare(m)) continue;
+    Resources moved;
+    std::size_t moves = 0;
+    bool possible = true;
+    for (const Placement& p : m.placements) {
+      if (!p.held) continue;
+      // An array's task is waited for.
+      ++moves;
+      if (p.job != nullptr && p.job->spec().kind == JobKind::Array) continue;
+      moved += p.need;
+      possible = possible && movable(p) && p.job->spec().kind == JobKind::Service;
+    }
+    if (!possible || moved.gpus > m.size.gpus / 2 || moved.cpus > m.size.cpus / 2) continue;
+    if (best != nullptr && moves >= best_moves) continue;
+    std::unordered_map<const Machine*, Resources> promised;
+    for (const Placement& p : m.placements)
+      if (possible && p.held && p.job->spec().kind == JobKind::Service) {
+        const Machine* to = warm_room(p, m, promised);
+        possible = to != nullptr;
+        if (possible) promised[to] += p.need;
+      }
+    if (!possible) continue;
+    best = &m;
+    best_moves = moves;
+  }
+  if (best == nullptr) return;
+  best->retiring = true;
+  log(Log::Level::Info, "event=retire machine=", best->name, " moves=", best_moves);
+  for (std::size_t i = best->placements.size(); i-- > 0;) {
+    Placement& p = best->placements[i];
+    if (p.held && p.job != nullptr && p.job->spec().kind == JobKind::Service)
+      stop_task(p, grace_for(*p.job));
+  }
+}
+
+// A machine that holds the image of a running replica and has room for it, beside what is promised.
+const Machine* Core::warm_room(const Placement& p, const Machine& from,
+                               const std::unordered_map<const Machine*, Resources>& promised) const {
+  const JobSpec& s = p.job->spec();
+  for (const auto& [name, m] : tables_.machines) {
+    if (m.get() == &from || m->spot != from.spot || m->retiring || !usable(*m)) continue;
+    if (!m->has_image(s.image)) continue;
+    // In its own zone, what the job asks of its tasks' zones stays as it is.
+    if (m->zone == from.zone ? !tables_.type_allowed(s, m->type) : !tables_.allowed(*p.job, *m))
+      continue;
+    Resources room = m->room();
+    if (const auto it = promised.find(m.get()); it != promised.end()) room -= it->second;
+    if (s.need.fits_in(room)) return m.get();
+  }
+  return nullptr;
 }
 
 void Core::send_releases() {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -218,7 +218,7 @@
   std::array<double, 6> best_score{};
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
-    if (!usable(m)) continue;
+    if (!usable(m) || m.retiring) continue;
     Resources room = m.room();
     if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
     if (!s.need.fits_in(room) || !tables_.allowed(job, m)) continue;
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -52,7 +52,7 @@
   double best_cost = 0;
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
-    if (!usable(m) || !tables_.allowed(job, m)) continue;
+    if (!usable(m) || m.retiring || !tables_.allowed(job, m)) continue;
     if (warm_only && !m.has_image(s.image)) continue;
     Resources room = m.room();
     if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -111,6 +111,7 @@
   Time idle_since = 0;
   bool draining = false;  // takes no more work
   std::string drain_cause;
+  bool retiring = false;   // takes no more work unless that has no other room
   bool releasing = false;  // a release was or is to be sent
   bool silent = false;
   bool probing = false;
