--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -257,6 +257,7 @@
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
   Machine* choose(const Job& job, bool may_queue_fetch);
+  Machine* moved_to(const Job& job, std::uint32_t index);
   [[nodiscard]] bool usable(const Machine& m) const;
   [[nodiscard]] std::vector<Job*> queue_order(Priority priority);
   void note_guarantees();
@@ -408,6 +409,13 @@
   std::unordered_map<std::string, bool> guaranteed_;
   int fetch_votes_ = 0;  // above 0: images fetched at the same time share the rate
   std::unordered_map<std::string, Priority> image_priority_;  // the highest of its jobs
+  /// Replicas on their way to another machine, and the room that is kept for them there.
+  struct Move {
+    std::string to;
+    Resources need;
+    Time until = 0;
+  };
+  std::unordered_map<std::string, Move> moves_;
   /// Room on machines that the present pass has promised to tasks of higher priority.
   std::unordered_map<const Machine*, Resources> claims_;
 };
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -389,6 +389,10 @@
   // The fewest moves that empty a machine, as long as they are for less than half of it.
   Machine* best = nullptr;
   std::size_t best_moves = 0;
+  std::vector<std::pair<Placement*, const Machine*>> best_plan;
+  std::unordered_map<const Machine*, Resources> under_way;
+  for (const auto& [task, move] : moves_)
+    if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (m.spot || !usable(m) || m.retiring || m.empty() || !spare(m)) continue;
@@ -405,24 +409,28 @@
     }
     if (!possible || moved.gpus > m.size.gpus / 2 || moved.cpus > m.size.cpus / 2) continue;
     if (best != nullptr && moves >= best_moves) continue;
-    std::unordered_map<const Machine*, Resources> promised;
-    for (const Placement& p : m.placements)
+    auto promised = under_way;
+    std::vector<std::pair<Placement*, const Machine*>> plan;
+    for (Placement& p : m.placements)
       if (possible && p.held && p.job->spec().kind == JobKind::Service) {
         const Machine* to = warm_room(p, m, promised);
         possible = to != nullptr;
-        if (possible) promised[to] += p.need;
+        if (!possible) break;
+        promised[to] += p.need;
+        plan.emplace_back(&p, to);
       }
     if (!possible) continue;
     best = &m;
     best_moves = moves;
+    best_plan = std::move(plan);
   }
   if (best == nullptr) return;
   best->retiring = true;
-  log(Log::Level::Info, "event=retire machine=", best->name, " moves=", best_moves);
-  for (std::size_t i = best->placements.size(); i-- > 0;) {
-    Placement& p = best->placements[i];
-    if (p.held && p.job != nullptr && p.job->spec().kind == JobKind::Service)
-      stop_task(p, grace_for(*p.job));
+  log(Log::Level::Info, "event=retire machine=", best->name, " moves=", best_plan.size());
+  for (const auto& [p, to] : best_plan) {
+    stop_task(*p, grace_for(*p->job));
+    // Its room is kept: a replica that lost it to another once fetched its image for half a minute.
+    moves_[task_name(p->key)] = {to->name, p->need, now + worker_lease()};
   }
 }
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -78,6 +78,9 @@
   const Time now = clock_.now;
   next_placement_ = now + std::max<Time>(10, report_interval() / kPassesPerReport);
   claims_.clear();
+  std::erase_if(moves_, [&](const auto& move) { return now >= move.second.until; });
+  for (const auto& [task, move] : moves_)
+    if (const Machine* m = tables_.machine(move.to)) claims_[m] += move.need;
   unmet_.clear();
   unmet_of_team_.clear();
   note_guarantees();
@@ -132,7 +135,8 @@
       if (gang) unplace(job);
       return false;
     }
-    Machine* m = choose(job, gang);
+    Machine* m = moved_to(job, i);
+    if (m == nullptr) m = choose(job, gang);
     if (m != nullptr && !gang && late_if_cold(job, *m) && make_room(job, true)) {
       ++waiting;
       continue;
@@ -212,6 +216,19 @@
 // Rises across epochs with nothing remembered.
 std::uint64_t Core::attempt_number() { return (epoch_ << kAttemptBits) + next_attempt_++; }
 
+// Where a replica that was stopped to be moved is awaited, if it still can go there.
+Machine* Core::moved_to(const Job& job, std::uint32_t index) {
+  if (moves_.empty()) return nullptr;
+  const auto node = moves_.extract(task_name({job.spec().id, index}));
+  if (!node) return nullptr;
+  Machine* m = tables_.machine(node.mapped().to);
+  if (m == nullptr) return nullptr;
+  claims_[m] -= node.mapped().need;
+  const bool possible = usable(*m) && !m->retiring && m->has_image(job.spec().image) &&
+                        job.spec().need.fits_in(m->room()) && tables_.allowed(job, *m);
+  return possible ? m : nullptr;
+}
+
 Machine* Core::choose(const Job& job, bool may_queue_fetch) {
   const JobSpec& s = job.spec();
   Machine* best = nullptr;
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -60,6 +60,9 @@
   std::string job;
   std::uint32_t index = 0;
 };
+inline std::string task_name(const TaskKey& key) {
+  return key.job + "/" + std::to_string(key.index);
+}
 
 enum class RunState : std::uint8_t { Fetching, Running, Saving, Exited };
 enum class ExitCause : std::uint8_t { None, Done, Stopped, Error, NoRoom, Busy, Unknown };
