--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -282,7 +282,7 @@
     // the one that is busy with the fewest fetches, as they share its rate.
     const double fill = image < 2 ? room.gpus + room.cpus / 1000
                                   : static_cast<double>(m.fetches()) * 100 - room.gpus;
-    const std::array<double, 6> score{failed, image, dear, reserved, together, fill};
+    const std::array<double, 6> score{failed, dear, image, reserved, together, fill};
     if (best == nullptr || score < best_score) {
       best = &m;
       best_score = score;
