--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -271,7 +271,7 @@
   bool place_job(Job& job);
   void unplace(Job& job);
   void note_unmet(const JobSpec& spec, const TeamBook& team, std::uint32_t tasks);
-  [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m) const;
+  [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m, const char* aim) const;
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
   Machine* choose(const Job& job, bool may_queue_fetch);
@@ -285,6 +285,9 @@
   // preemption.cpp
   bool make_room(const Job& job, bool warm_only = false);
   bool stop_for(const Job& job, bool warm_only);
+  bool move_for(const Job& job);
+  [[nodiscard]] bool movable(const Placement& p) const;
+  void move(Placement& p, const Machine& to);
   [[nodiscard]] bool may_stop(const Job& job, const Placement& p) const;
   void stop_task(Placement& p, double grace_s);
   void stop_job(Job& job);
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -16,8 +16,6 @@
 constexpr double kReturnHeadroom = 1.5;
 /// One in so many machines may be on its way to be emptied.
 constexpr std::size_t kRetiringShare = 32;
-/// A start that is stopped sooner counts as none (protocol, "How aims are counted").
-constexpr Time kCountedStart = 30'000;
 
 std::string place_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -370,7 +368,6 @@
 // When more is up than is needed, the machine whose replicas are fewest is emptied: replicas end
 // here and there, and no machine would empty by itself. Each goes where its image lies already.
 void Core::retire(const std::function<bool(const Machine&)>& spare) {
-  const Time now = clock_.now;
   const bool wanted = std::any_of(unmet_.begin(), unmet_.end(), [](auto& u) { return !u.want.spot; });
   std::size_t up = 0, retiring = 0;
   for (auto& [name, m] : tables_.machines) {
@@ -380,10 +377,6 @@
     retiring += m->retiring ? 1 : 0;
   }
   if (wanted || rebuilding_ || retiring > up / kRetiringShare) return;
-  const auto movable = [&](const Placement& p) {
-    return p.job != nullptr && p.job->active() && p.state == PlaceState::Running && !p.stop &&
-           now - p.running_since > kCountedStart;
-  };
   // The fewest moves that empty a machine, as long as they are for less than half of it.
   Machine* best = nullptr;
   std::size_t best_moves = 0;
@@ -403,7 +396,7 @@
       ++moves;
       if (p.job != nullptr && p.job->spec().kind == JobKind::Array) continue;
       moved += p.need;
-      possible = possible && movable(p) && p.job->spec().kind == JobKind::Service;
+      possible = possible && movable(p);
     }
     if (!possible || moved.gpus > m.size.gpus / 2 || moved.cpus > m.size.cpus / 2) continue;
     if (best != nullptr && moves >= best_moves) continue;
@@ -425,28 +418,7 @@
   if (best == nullptr) return;
   best->retiring = true;
   log(Log::Level::Info, "event=retire machine=", best->name, " moves=", best_plan.size());
-  for (const auto& [p, to] : best_plan) {
-    stop_task(*p, grace_for(*p->job));
-    // Its room is kept: a replica that lost it to another once fetched its image for half a minute.
-    moves_[task_name(p->key)] = {to->name, p->need, now + worker_lease()};
-  }
-}
-
-// A machine that holds the image of a running replica and has room for it, beside what is promised.
-const Machine* Core::warm_room(const Placement& p, const Machine& from,
-                               const std::unordered_map<const Machine*, Resources>& promised) const {
-  const JobSpec& s = p.job->spec();
-  for (const auto& [name, m] : tables_.machines) {
-    if (m.get() == &from || m->spot != from.spot || m->retiring || !usable(*m)) continue;
-    if (!m->has_image(s.image)) continue;
-    // In its own zone, what the job asks of its tasks' zones stays as it is.
-    if (m->zone == from.zone ? !tables_.type_allowed(s, m->type) : !tables_.allowed(*p.job, *m))
-      continue;
-    Resources room = m->room();
-    if (const auto it = promised.find(m.get()); it != promised.end()) room -= it->second;
-    if (s.need.fits_in(room)) return m.get();
-  }
-  return nullptr;
+  for (const auto& [p, to] : best_plan) move(*p, *to);
 }
 
 void Core::send_releases() {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -155,9 +155,13 @@
     }
     Machine* m = moved_to(job, i);
     if (m == nullptr) m = choose(job, gang);
-    if (m != nullptr && !gang && late_if_cold(job, *m) && make_room(job, true)) {
-      ++waiting;
-      continue;
+    if (m != nullptr && !gang) {
+      const bool late = late_if_cold(job, *m, "wait");
+      const bool lent = job.guaranteed && late_if_cold(job, *m, "guarantee");
+      if ((late && make_room(job, true)) || ((late || lent) && move_for(job))) {
+        ++waiting;
+        continue;
+      }
     }
     if (m == nullptr && !gang) {
       // Room there is, but its machine is busy fetching: that room is kept, and no machine rented.
@@ -207,14 +211,14 @@
   it->tasks += wanted;
 }
 
-// True if fetching the image there takes longer than the class's aim on starting allows.
-bool Core::late_if_cold(const Job& job, const Machine& m) const {
+// True if fetching the image there takes longer than an aim on starting allows.
+bool Core::late_if_cold(const Job& job, const Machine& m, const char* aim) const {
   const JobSpec& s = job.spec();
   if (m.has_image(s.image) || m.fetching(s.image)) return false;
   const MachineType* t = tables_.type(m.type);
   if (t == nullptr || t->fetch_gb_per_s <= 0) return false;
   for (const Objective& o : settings_.objectives)
-    if (o.kind == "wait" && o.job_class == s.job_class)
+    if (o.kind == aim && (o.job_class.empty() || o.job_class == s.job_class))
       return s.image_gb / t->fetch_gb_per_s + settings_.workers.report_s > o.within_s;
   return false;
 }
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -1,7 +1,14 @@
-// Stopping tasks: to make room for more important ones, or because their job is cancelled.
+// Stopping tasks: to make room for more important ones, to run elsewhere, or because their job is
+// cancelled.
 #include "coordination/core.hpp"
 
 namespace sailreel {
+namespace {
+/// A start that is stopped sooner counts as none (protocol, "How aims are counted").
+constexpr Time kCountedStart = 30'000;
+/// So many replicas move, at most, to let one task start where its image lies.
+constexpr std::size_t kMovesForAStart = 2;
+}  // namespace
 
 double Core::grace_for(const Job& job) const {
   const JobSpec& s = job.spec();
@@ -120,4 +127,76 @@
   return true;
 }
 
+// A replica that can be stopped here to run elsewhere.
+bool Core::movable(const Placement& p) const {
+  return p.held && p.job != nullptr && p.job->active() &&
+         p.job->spec().kind == JobKind::Service && p.state == PlaceState::Running && !p.stop &&
+         clock_.now - p.running_since > kCountedStart;
+}
+
+void Core::move(Placement& p, const Machine& to) {
+  stop_task(p, grace_for(*p.job));
+  // Its room is kept: a replica that lost it to another once fetched its image for half a minute.
+  moves_[task_name(p.key)] = {to.name, p.need, clock_.now + worker_lease()};
+}
+
+// Lets a task start where its image lies, although that is full of work as important, if some of
+// that can go on at once where its own image lies: a move takes a second or two, a fetch half a
+// minute.
+bool Core::move_for(const Job& job) {
+  const JobSpec& s = job.spec();
+  Machine* best = nullptr;
+  std::vector<std::pair<Placement*, const Machine*>> best_plan;
+  for (auto& [name, ptr] : tables_.machines) {
+    Machine& m = *ptr;
+    ++examined_;
+    if (!usable(m) || m.retiring || !m.has_image(s.image) || !tables_.allowed(job, m)) continue;
+    Resources room = m.room();
+    if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
+    for (const Placement& p : m.placements)
+      if (p.held && p.stop) room += p.need;
+    auto promised = claims_;
+    std::vector<std::pair<Placement*, const Machine*>> plan;
+    for (Placement& p : m.placements) {
+      if (s.need.fits_in(room) || plan.size() >= kMovesForAStart) break;
+      if (!movable(p) || p.job == &job) continue;
+      const Machine* to = warm_room(p, m, promised);
+      if (to == nullptr) continue;
+      promised[to] += p.need;
+      room += p.need;
+      plan.emplace_back(&p, to);
+    }
+    if (!s.need.fits_in(room)) continue;
+    if (best != nullptr && plan.size() >= best_plan.size()) continue;
+    best = &m;
+    best_plan = std::move(plan);
+  }
+  if (best == nullptr) return false;
+  claims_[best] += s.need;
+  for (const auto& [p, to] : best_plan) {
+    log(Log::Level::Info, "event=move machine=", best->name, " task=", p->key.job, "/",
+        p->key.index, " to=", to->name, " for=", s.id);
+    claims_[to] += p->need;
+    move(*p, *to);
+  }
+  return true;
+}
+
+// A machine that holds the image of a running replica and has room for it, beside what is promised.
+const Machine* Core::warm_room(const Placement& p, const Machine& from,
+                               const std::unordered_map<const Machine*, Resources>& promised) const {
+  const JobSpec& s = p.job->spec();
+  for (const auto& [name, m] : tables_.machines) {
+    if (m.get() == &from || m->spot != from.spot || m->retiring || !usable(*m)) continue;
+    if (!m->has_image(s.image)) continue;
+    // In its own zone, what the job asks of its tasks' zones stays as it is.
+    if (m->zone == from.zone ? !tables_.type_allowed(s, m->type) : !tables_.allowed(*p.job, *m))
+      continue;
+    Resources room = m->room();
+    if (const auto it = promised.find(m.get()); it != promised.end()) room -= it->second;
+    if (s.need.fits_in(room)) return m.get();
+  }
+  return nullptr;
+}
+
 }  // namespace sailreel
