--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -69,6 +69,7 @@
     if (in_command(clock_.now)) {
       if (placement_dirty_ && clock_.now >= next_placement_) place_all();
       fleet_tick();
+      move_tick();
     }
   }
   out_.push_back(ArmTimer{tick_ms(settings_)});
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -287,7 +287,8 @@
   bool stop_for(const Job& job, bool warm_only);
   bool move_for(const Job& job);
   [[nodiscard]] bool movable(const Placement& p) const;
-  void move(Placement& p, const Machine& to);
+  void move(Placement& p, const Machine& from, const Machine& to);
+  void move_tick();
   [[nodiscard]] bool may_stop(const Job& job, const Placement& p) const;
   void stop_task(Placement& p, double grace_s);
   void stop_job(Job& job);
@@ -437,9 +438,12 @@
   int fetch_votes_ = 0;  // above 0: images fetched at the same time share the rate
   /// Replicas on their way to another machine, and the room that is kept for them there.
   struct Move {
-    std::string to;
+    std::string from, to;
     Resources need;
     Time until = 0;
+    TaskKey key;
+    std::uint64_t attempt = 0;
+    bool begun = false;  // the replica was told to stop
   };
   std::unordered_map<std::string, Move> moves_;
   /// Room on machines that the present pass has promised to tasks of higher priority.
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -418,7 +418,7 @@
   if (best == nullptr) return;
   best->retiring = true;
   log(Log::Level::Info, "event=retire machine=", best->name, " moves=", best_plan.size());
-  for (const auto& [p, to] : best_plan) move(*p, *to);
+  for (const auto& [p, to] : best_plan) move(*p, *best, *to);
 }
 
 void Core::send_releases() {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -85,7 +85,6 @@
   const Time now = clock_.now;
   const std::uint64_t examined = examined_;
   claims_.clear();
-  std::erase_if(moves_, [&](const auto& move) { return now >= move.second.until; });
   for (const auto& [task, move] : moves_)
     if (const Machine* m = tables_.machine(move.to)) claims_[m] += move.need;
   unmet_.clear();
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -1,6 +1,7 @@
 // Stopping tasks: to make room for more important ones, to run elsewhere, or because their job is
 // cancelled.
 #include "coordination/core.hpp"
+#include "protocol/worker_codec.hpp"
 
 namespace sailreel {
 namespace {
@@ -39,7 +40,7 @@
 // Lower priority gives way; so does what another team runs beyond its guarantee to a team that is
 // within its own. Work never gives way to work of the same priority otherwise.
 bool Core::may_stop(const Job& job, const Placement& p) const {
-  if (!p.held || p.job == nullptr || p.stop || p.job == &job) return false;
+  if (!p.held || p.job == nullptr || p.stop || p.moving || p.job == &job) return false;
   const JobSpec& victim = p.job->spec();
   if (victim.priority > job.spec().priority) return true;
   if (p.job->team == job.team || victim.priority < job.spec().priority) return false;
@@ -77,7 +78,7 @@
     Resources room = m.room();
     if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
     for (const Placement& p : m.placements)
-      if (p.held && p.stop) room += p.need;
+      if (p.held && (p.stop || p.moving)) room += p.need;
     std::vector<Placement*> victims;
     double cost = m.has_image(s.image) ? 0 : 1;
     if (!s.need.fits_in(room)) {
@@ -131,13 +132,48 @@
 bool Core::movable(const Placement& p) const {
   return p.held && p.job != nullptr && p.job->active() &&
          p.job->spec().kind == JobKind::Service && p.state == PlaceState::Running && !p.stop &&
-         clock_.now - p.running_since > kCountedStart;
+         !p.moving && clock_.now - p.running_since > kCountedStart;
 }
 
-void Core::move(Placement& p, const Machine& to) {
-  stop_task(p, grace_for(*p.job));
+void Core::move(Placement& p, const Machine& from, const Machine& to) {
+  p.moving = true;
   // Its room is kept: a replica that lost it to another once fetched its image for half a minute.
-  moves_[task_name(p.key)] = {to.name, p.need, clock_.now + worker_lease()};
+  moves_[task_name(p.key)] = {from.name, to.name, p.need, clock_.now + worker_lease(),
+                              p.key,     p.attempt};
+}
+
+// Replicas on the move are stopped by a direct command just before the machine that awaits them may
+// report, as the start goes out with the answer: they are down for a fraction of a report's
+// interval, not for more than one. A stop that arrives late finds its attempt gone, and does no
+// harm; a direct start would have to be waited for, perhaps for minutes.
+void Core::move_tick() {
+  const Time soonest = report_interval() * 3 / 4;
+  for (auto it = moves_.begin(); it != moves_.end();) {
+    Move& move = it->second;
+    Machine* from = tables_.machine(move.from);
+    const Machine* to = tables_.machine(move.to);
+    Placement* p = from != nullptr ? from->find(move.key, move.attempt) : nullptr;
+    const bool overtaken =
+        !move.begun && (p == nullptr || p->stop || !p->held || to == nullptr || !usable(*to));
+    if (overtaken || clock_.now >= move.until) {
+      if (p != nullptr) p->moving = false;
+      it = moves_.erase(it);
+      continue;
+    }
+    ++it;
+    if (move.begun || clock_.now - to->came < soonest) continue;
+    move.begun = true;
+    stop_task(*p, grace_for(*p->job));
+    if (from->address.empty()) continue;
+    call_worker(from->address,
+                encode_direct(epoch_, from->session,
+                              {{Command::Op::Stop, p->key, p->attempt, p->grace_s}}),
+                [this, name = move.from](int status, const std::optional<Report>& report) {
+                  if (status == 200 && report && report->machine == name &&
+                      report->token == epoch_ && tables_.machine(name) != nullptr)
+                    take_report(*report, true);
+                });
+  }
 }
 
 // Lets a task start where its image lies, although that is full of work as important, if some of
@@ -154,7 +190,7 @@
     Resources room = m.room();
     if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
     for (const Placement& p : m.placements)
-      if (p.held && p.stop) room += p.need;
+      if (p.held && (p.stop || p.moving)) room += p.need;
     auto promised = claims_;
     std::vector<std::pair<Placement*, const Machine*>> plan;
     for (Placement& p : m.placements) {
@@ -177,7 +213,7 @@
     log(Log::Level::Info, "event=move machine=", best->name, " task=", p->key.job, "/",
         p->key.index, " to=", to->name, " for=", s.id);
     claims_[to] += p->need;
-    move(*p, *to);
+    move(*p, *best, *to);
   }
   return true;
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -76,6 +76,7 @@
   }
   if (!take_report(r, false)) return answer(in.origin, 503, encode_error("late report"));
   m = tables_.machine(r.machine);
+  m->came = now;
   if (placement_dirty_ && now >= next_placement_) place_all();
   m->answered = now;
   const auto commands = commands_for(*m, r.seq);
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -84,7 +84,8 @@
   std::uint32_t sends = 0;
   Time since = 0;  // of the state
   Time running_since = 0;
-  bool stop = false;  // is to be stopped
+  bool moving = false;  // is to be stopped when the machine that awaits it is about to report
+  bool stop = false;    // is to be stopped
   double grace_s = 0;
   bool held = false;     // counts as the task's place, against machine and team
   bool settled = false;  // exited, and what that means is in the checkpoint
@@ -111,6 +112,7 @@
   std::uint64_t session = 0, seq = 0;
   Time rented = 0;    // or first heard of
   Time heard = 0;     // last fresh report
+  Time came = 0;      // last report that it sent by itself
   Time answered = 0;  // last answer that may have renewed its lease
   Time idle_since = 0;
   bool draining = false;  // takes no more work
