--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -234,6 +234,8 @@
   void task_exited(Machine& m, Placement& p);
   std::vector<Command> commands_for(Machine& m, std::uint64_t report_seq);
   void machine_tick();
+  [[nodiscard]] Time silent_after() const;
+  [[nodiscard]] static bool few_silent(std::size_t silent, std::size_t of);
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
   [[nodiscard]] Time expiry(const Machine& m) const;
@@ -363,6 +365,7 @@
   Image image_, loading_;
   bool image_loaded_ = false;
   std::uint64_t image_revision_ = 0;
+  Time image_read_at_ = 0;
   struct Lookup {
     Origin origin;
     std::string id;
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -10,6 +10,8 @@
 /// A submission is given 5 s by its user, and a commit may take a retry.
 constexpr Time kForwardCommitMs = 3'000;
 constexpr Time kRefreshEveryMs = 200;
+/// What the state service gives in a page of keys (protocol, "Controller nodes -> state service").
+constexpr double kPageKb = 512;
 constexpr std::size_t kMaxForwarded = 2'000;
 constexpr std::size_t kMaxWaiting = 2'000;
 }  // namespace
@@ -167,6 +169,12 @@
   lookups_served_ = std::move(lookups_);
   lookups_.clear();
   next_refresh_ = clock_.now + kRefreshEveryMs;
+  // What a watch brings has no limit of size, and most of it is the same keys over and over: after
+  // more than a page of changes at the full rate of writing, the keys are read anew. A node that
+  // had not looked for minutes once held 19 MB for it.
+  const double kb_per_s = settings_.store.write_rps * settings_.store.value_kb;
+  if (static_cast<double>(clock_.now - image_read_at_) / 1000.0 * kb_per_s > kPageKb)
+    image_loaded_ = false;
   if (!image_loaded_) {
     image_ = Image{};
     return refresh_list("", 0);
@@ -212,7 +220,7 @@
 
 void Core::finish_lookups(bool ok) {
   refreshing_ = false;
-  if (ok) last_path_ = clock_.now;
+  if (ok) last_path_ = image_read_at_ = clock_.now;
   const auto served = std::move(lookups_served_);
   lookups_served_.clear();
   for (const Lookup& l : served) {
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -96,14 +96,21 @@
 void Core::rebuild_tick() {
   if (!rebuilding_ || !in_command(clock_.now)) return;
   const Time now = clock_.now;
-  std::uint64_t missing = 0;
+  std::vector<Machine*> missing;
+  std::size_t recorded = 0;
   for (auto& [name, m] : tables_.machines) {
+    recorded += m->recorded ? 1 : 0;
     if (!m->recorded || m->reported) continue;
     if (m->lease_passed || now >= expiry(*m)) continue;
-    ++missing;
+    missing.push_back(m.get());
     if (!m->probing && now >= m->probe_at) inquire(*m);
   }
-  if (missing > 0) return;
+  // One that died with the former leader, or that this had returned without having written so, would
+  // hold up everything for its lease (recorded incident: 22 s). Returning it proves it gone.
+  if (now - led_since_ > silent_after() && few_silent(missing.size(), recorded))
+    for (Machine* m : missing)
+      if (m->probe_failures >= 2) release(*m, "silent since take-over");
+  if (!missing.empty()) return;
   rebuilding_ = false;
   for (auto& [id, job] : tables_.jobs) {
     tables_.unknown_to_queued(*job);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -101,9 +101,11 @@
         " after_ms=", now - m.rented);
     placement_dirty_ = true;
   } else if (r.session > m.session) {
-    // Its lease ran out although we answered its reports: it doesn't hear us. Until it has proved
-    // otherwise for a while, work given to it would only wait.
-    if (now - m.answered < worker_lease() / 2) shun(m, "deaf");
+    // Its lease ran out although we heard it all the time and answered: it doesn't hear us. Until it
+    // has proved otherwise for a while, work given to it would only wait. Reports that a cut held
+    // back and let go at its end prove nothing: they once had half a fleet shunned.
+    if (now - m.answered < worker_lease() / 2 && now - m.steady_since > worker_lease())
+      shun(m, "deaf");
     session_lost(m, "new session");
   }
   if (m.address != r.address) {
@@ -115,6 +117,7 @@
     dirty_machine_shards_.insert(machine_shard(m.name));
   }
   tables_.size_machine(m);
+  if (!m.reported || now - m.heard > silent_after()) m.steady_since = now;
   m.reported = true;
   m.untaken_since = 0;
   m.lease_passed = false;
@@ -400,10 +403,16 @@
 // learnt.
 std::size_t Core::fetch_limit() const { return fetch_votes_ > 0 ? 1 : fetch_votes_ < 0 ? 8 : 2; }
 
+Time Core::silent_after() const { return report_interval() * 5 / 2 + 500; }
+
+// Few enough for the machines to be at fault, and not the network.
+bool Core::few_silent(std::size_t silent, std::size_t of) {
+  return silent <= std::max<std::size_t>(2, of / 10) && (silent < of || of == 1);
+}
+
 void Core::machine_tick() {
   const Time now = clock_.now;
-  const Time silent_after = report_interval() * 5 / 2 + 500;
-  const Time unheard_after = std::max(silent_after, worker_lease() * 45 / 100);
+  const Time unheard_after = std::max(silent_after(), worker_lease() * 45 / 100);
   std::size_t silent = 0, up = 0, fresh = 0;
   for (const auto& [name, m] : tables_.machines) {
     if (!m->reported) continue;
@@ -421,7 +430,7 @@
   if (in_command(now) && !settings_.siblings.empty() && up > 1 &&
       now - led_since_ > unheard_after && (fresh == 0 || (alone && fresh * 4 <= up)))
     return abdicate();
-  const bool few = silent <= std::max<std::size_t>(2, up / 10) && (silent < up || up == 1);
+  const bool few = few_silent(silent, up);
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (!m.reported) {
@@ -429,7 +438,7 @@
         release(m, "not heard since take-over");
       continue;
     }
-    if (!m.silent && now - m.heard > silent_after) {
+    if (!m.silent && now - m.heard > silent_after()) {
       m.silent = true;
       log(Log::Level::Info, "event=machine_silent machine=", m.name);
     }
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -112,6 +112,7 @@
   std::uint64_t session = 0, seq = 0;
   Time rented = 0;    // or first heard of
   Time heard = 0;     // last fresh report
+  Time steady_since = 0;  // heard without a gap since then
   Time came = 0;      // last report that it sent by itself
   Time answered = 0;  // last answer that may have renewed its lease
   Time idle_since = 0;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -263,6 +263,66 @@
   EXPECT_LT(many, 3 * few);
 }
 
+// Recorded incident: a machine that the former leader had returned, or that died with it, held up
+// the rebuild for its lease and the former leader's grace, 22 s.
+TEST(Incident, AMachineThatDiedWithTheLeaderDoesNotHoldUpTheRebuild) {
+  World world(quiet(12));
+  world.run_until(1'000);
+  for (int n = 0; n < 20; ++n) world.submit(service("job-" + std::to_string(n), 1));
+  world.run_until(40'000);
+  const int old_leader = world.leader();
+  ASSERT_GE(old_leader, 0);
+  ASSERT_GE(world.machines_up().size(), 3U);
+  world.kill_machine(world.machines_up().front());
+  world.kill(static_cast<std::size_t>(old_leader), 6'000);
+  world.run_until(48'000);
+  const int next = world.leader();
+  ASSERT_GE(next, 0);
+  EXPECT_FALSE(world.core(static_cast<std::size_t>(next))->rebuilding());
+  world.run();
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
+// Recorded incident: reports that a cut had held back arrived at its end, just before those of the
+// machines' new sessions. The machines were taken for deaf, and got no work for two leases.
+TEST(Incident, ReportsThatACutHeldBackDoNotMakeAMachineDeaf) {
+  World world(quiet(13));
+  world.run_until(1'000);
+  for (int n = 0; n < 20; ++n) world.submit(service("job-" + std::to_string(n), 1));
+  world.run_until(40'000);
+  const auto up = world.machines_up();
+  for (const auto& m : up)
+    for (int i = 0; i < 3; ++i) world.cut("node-" + std::to_string(i), m, 14'000, true);
+  world.run_until(58'000);
+  const int leader = world.leader();
+  ASSERT_GE(leader, 0);
+  const Core* core = world.core(static_cast<std::size_t>(leader));
+  for (const auto& [name, m] : core->tables().machines) EXPECT_EQ(m->shunned_until, 0) << name;
+  world.run();
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
+// Seen on simulated machines: 19 MB in a node that had not looked at the checkpoint for minutes and
+// then asked for all changes since. What it asks for must not grow with the time.
+TEST(Incident, ALookUpAfterALongTimeReadsTheKeysNotTheChanges) {
+  DayPlan plan = quiet(14);
+  plan.jobs = 200;
+  plan.length = 200'000;
+  World world(plan);
+  const auto kill_leader = [&] {
+    if (const int leader = world.leader(); leader >= 0)
+      world.kill(static_cast<std::size_t>(leader), 6'000);
+  };
+  for (const Time when : {20'000, 60'000, 120'000}) {
+    world.run_until(when);
+    kill_leader();
+  }
+  world.run();
+  EXPECT_GT(world.state().largest_watch, 0U);
+  EXPECT_LT(world.state().largest_watch, 512U * 1024);
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
 // A job of the largest size goes through the checkpoint and a take-over.
 TEST(Size, AJobOfAHundredThousandTasks) {
   World world(quiet(6));
--- a/tests/sim/stand_ins.hpp
+++ b/tests/sim/stand_ins.hpp
@@ -18,6 +18,7 @@
 
   bool outage = false;
   std::size_t value_limit = 8 * 1024, ops_limit = 16;
+  std::size_t largest_watch = 0;  // in bytes of values
   std::uint64_t malformed = 0;  // requests beyond the limits; ours must never be
 
   /// Answers at once, or keeps a watch until its time.
@@ -151,9 +152,14 @@
       StateReply r;
       r.status = 200;
       r.revision = revision_;
+      std::size_t bytes = 0;
       if (!it->refused)
         for (const auto& e : events_)
-          if (e.version > it->from && e.key.starts_with(it->prefix)) r.items.push_back(e);
+          if (e.version > it->from && e.key.starts_with(it->prefix)) {
+            r.items.push_back(e);
+            bytes += e.value.size();
+          }
+      largest_watch = std::max(largest_watch, bytes);
       if (it->refused || (r.items.empty() && now < it->until)) {
         ++it;
         continue;
