--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -56,7 +56,7 @@
   /// Ordinary room kept free for work to come, as a share of the room in use.
   double headroom_ratio = 0.20;
   /// How long a machine stays without work before it is returned, as a share of its boot time.
-  double idle_ratio = 0.6;
+  double idle_ratio = 1.5;
   /// Share of the state service's budgets that a leader uses.
   double state_share = 0.7;
 };
