--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -236,6 +236,7 @@
   void machine_tick();
   [[nodiscard]] Time silent_after() const;
   [[nodiscard]] static bool few_silent(std::size_t silent, std::size_t of);
+  void look_for_dead(bool few);
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
   [[nodiscard]] Time expiry(const Machine& m) const;
@@ -433,6 +434,9 @@
   Time next_types_ = 0, next_list_ = 0, next_sizing_ = 0;
   bool listing_ = false;
 
+  /// When a machine of the zone last answered a direct command.
+  std::unordered_map<std::string, Time> zone_reached_;
+
   // placement
   bool placement_dirty_ = false;
   Time next_placement_ = 0;
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -133,12 +133,15 @@
                 machine->probing = false;
                 machine->probe_at = std::max(clock_.now, sent + report_interval() / 2);
                 if (!report || report->machine != name) {
-                  if (status == 0) ++machine->probe_failures;
+                  if (status != 0) return;
+                  ++machine->probe_failures;
+                  machine->probe_failed = sent;
                   return;
                 }
                 machine->probe_failures = 0;
                 if (report->token > epoch_) return step_down("a worker has seen a higher token");
                 if (status == 200) {
+                  zone_reached_[report->zone] = clock_.now;
                   take_report(*report, true);
                 } else if (status == 409 && machine->probe_session != report->session) {
                   machine->probe_session = report->session;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -13,6 +13,8 @@
 /// wrong between us and that machine.
 constexpr std::uint32_t kMaxSends = 3;
 constexpr std::size_t kFaultyJobs = 2;
+/// No more than one in so many machines of a zone is taken for dead at a time.
+constexpr std::size_t kDeadShare = 3;
 }  // namespace
 
 // How long a leader whose lease may have lapsed goes on answering reports, without commands. A
@@ -440,6 +442,7 @@
     }
     if (!m.silent && now - m.heard > silent_after()) {
       m.silent = true;
+      m.silent_since = now;
       log(Log::Level::Info, "event=machine_silent machine=", m.name);
     }
     if (!m.silent) continue;
@@ -452,10 +455,43 @@
     }
     if (!in_command(now)) continue;
     if (!m.probing && now >= m.probe_at) inquire(m);
-    // A machine that doesn't answer either way is most likely dead. Returning it proves that its
-    // tasks are gone, sooner than its lease would. When many fall silent at once, the fault is
-    // rather between us and them, and their leases are waited for.
-    if (m.probe_failures >= 2 && !m.releasing && few) release(m, "silent");
+  }
+  if (in_command(now) && silent > 0) look_for_dead(few);
+}
+
+// A machine that answers neither way is most likely dead, if others of its zone do answer directly.
+// Returning it proves that its tasks are gone, sooner than its lease would. Where none of the zone
+// is reached, the fault is rather between us and the zone, and leases are waited for: when two zones
+// were apart, a rule by the share of silent machines alone returned healthy ones.
+void Core::look_for_dead(bool few) {
+  const Time now = clock_.now;
+  struct Zone {
+    std::size_t up = 0, silent = 0;
+    Machine* witness = nullptr;
+  };
+  std::map<std::string, Zone> zones;
+  for (auto& [name, m] : tables_.machines) {
+    if (!m->reported || m->releasing) continue;
+    Zone& zone = zones[m->zone];
+    ++zone.up;
+    zone.silent += m->silent ? 1 : 0;
+    if (!m->silent && !m->address.empty() &&
+        (zone.witness == nullptr || m->came > zone.witness->came))
+      zone.witness = m.get();
+  }
+  for (auto& [name, m] : tables_.machines) {
+    if (!m->silent || m->releasing || m->probe_failures < 2) continue;
+    Zone& zone = zones[m->zone];
+    const Time reached = zone_reached_[m->zone];
+    if (zone.witness == nullptr) {
+      if (few) release(*m, "silent");
+    } else if (reached > m->silent_since) {
+      // An inquiry that left before the zone was reached says nothing: it may have met the end of a
+      // cut that others were out of a moment sooner.
+      if (reached <= m->probe_failed && zone.silent * kDeadShare <= zone.up) release(*m, "silent");
+    } else if (!zone.witness->probing && now >= zone.witness->probe_at) {
+      inquire(*zone.witness);
+    }
   }
 }
 
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -121,10 +121,12 @@
   bool retiring = false;   // takes no more work unless that has no other room
   bool releasing = false;  // a release was or is to be sent
   bool silent = false;
+  Time silent_since = 0;
   bool probing = false;
   Time probe_at = 0;
   std::uint64_t probe_session = 1;
   std::uint32_t probe_failures = 0;
+  Time probe_failed = 0;  // when the last that failed was sent
   Time notice_until = 0;      // 0: no notice
   Time untaken_since = 0;     // reports that don't show our token, since then
   bool lease_passed = false;  // before it ever took our token
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -328,25 +328,58 @@
     world.submit(spec);
   }
   world.run_until(50'000);
-  const auto up = world.machines_up();
-  ASSERT_GE(up.size(), 5U);
-  // Too many to be taken for dead, too few for the leader to give way.
-  for (std::size_t k = 0; k < 3; ++k)
-    for (int i = 0; i < 3; ++i) world.cut("node-" + std::to_string(i), up[k], 16'000, true);
-  world.run_until(70'000);
-  const int leader = world.leader();
+  int leader = world.leader();
   ASSERT_GE(leader, 0);
   const Core* core = world.core(static_cast<std::size_t>(leader));
-  for (std::size_t k = 0; k < 3; ++k) {
-    const auto m = core->tables().machines.find(up[k]);
-    ASSERT_NE(m, core->tables().machines.end());
+  // All of one zone: with no other of it answering, they aren't taken for dead.
+  std::vector<std::string> cut;
+  for (const auto& [name, m] : core->tables().machines)
+    if (m->reported && !m->empty() && m->zone == "za") cut.push_back(name);
+  ASSERT_GE(cut.size(), 2U);
+  for (const auto& name : cut)
+    for (int i = 0; i < 3; ++i) world.cut("node-" + std::to_string(i), name, 16'000, true);
+  world.run_until(70'000);
+  ASSERT_EQ(world.leader(), leader);
+  for (const auto& name : cut) {
+    const auto m = core->tables().machines.find(name);
+    ASSERT_NE(m, core->tables().machines.end()) << name;
     EXPECT_GT(m->second->session, 1U);
-    EXPECT_EQ(m->second->shunned_until, 0) << up[k];
+    EXPECT_EQ(m->second->shunned_until, 0) << name;
   }
   world.run();
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
 }
 
+// When zones are apart, a leader can't reach the machines of the other: a rule by the share of silent
+// machines alone returned healthy ones. Where others of the zone answer, the silent are dead.
+TEST(Incident, TheDeadAreToldFromTheUnreached) {
+  DayPlan plan = quiet(16);
+  plan.scale = 6;
+  World world(plan);
+  world.run_until(1'000);
+  for (int n = 0; n < 100; ++n) world.submit(service("job-" + std::to_string(n), 1));
+  world.run_until(50'000);
+  const int leader = world.leader();
+  ASSERT_GE(leader, 0);
+  const Core* core = world.core(static_cast<std::size_t>(leader));
+  std::vector<std::string> here, there;
+  for (const auto& [name, m] : core->tables().machines)
+    (m->zone == "za" ? here : there).push_back(name);
+  ASSERT_GE(here.size(), 6U);
+  ASSERT_GE(there.size(), 6U);
+  // Two die, while one zone can't be reached for less than a lease.
+  for (const auto& name : there)
+    for (int i = 0; i < 3; ++i) world.cut("node-" + std::to_string(i), name, 8'000, true);
+  world.kill_machine(here[0]);
+  world.kill_machine(here[1]);
+  world.run_until(58'000);
+  EXPECT_FALSE(core->tables().machines.contains(here[0]));
+  EXPECT_FALSE(core->tables().machines.contains(here[1]));
+  for (const auto& name : there) EXPECT_TRUE(core->tables().machines.contains(name)) << name;
+  world.run();
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
 // Seen on simulated machines: 19 MB in a node that had not looked at the checkpoint for minutes and
 // then asked for all changes since. What it asks for must not grow with the time.
 TEST(Incident, ALookUpAfterALongTimeReadsTheKeysNotTheChanges) {
