--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -484,7 +484,8 @@
     Zone& zone = zones[m->zone];
     const Time reached = zone_reached_[m->zone];
     if (zone.witness == nullptr) {
-      if (few) release(*m, "silent");
+      // All of a zone at once is rather the zone; the only one of its zone is judged by the rest.
+      if (few && zone.up == 1) release(*m, "silent");
     } else if (reached > m->silent_since) {
       // An inquiry that left before the zone was reached says nothing: it may have met the end of a
       // cut that others were out of a moment sooner.
