--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -76,11 +76,6 @@
 }
 
 bool Core::healthy(Time now) const {
-  // A leader there is, and we have no way to it: all we could do with a submission is refuse it,
-  // while others take it. Polls we could answer, but the balancer can't tell the two apart.
-  if (role_ == Role::Follower && !leader_name_.empty() && leader_name_ != settings_.name &&
-      now - leader_heard_ > worker_lease() / 2)
-    return false;
   // Short gaps, such as a take-over, aren't worth being taken off the balancer's list for.
   return now - last_path_ < worker_lease() / 2;
 }
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -352,7 +352,6 @@
   };
   std::vector<SiblingView> sibling_views_;
   Time last_path_ = 0;
-  Time leader_heard_ = 0;  // directly; or since when there has been none to hear
 
   // followers' part in intake
   struct Forwarded {
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -17,7 +17,7 @@
     if (!renewing_ && now >= next_renew_) renew();
     return;
   }
-  if (leader_sibling() >= 0) last_path_ = leader_heard_ = now;
+  if (leader_sibling() >= 0) last_path_ = now;
   if (role_ == Role::Follower && now >= campaign_at_) {
     campaign();
     return;
@@ -68,7 +68,6 @@
 void Core::learn_leader(const StateItem* item) {
   if (item == nullptr) {
     leader_name_.clear();
-    leader_heard_ = clock_.now;
     if (campaign_at_ == kNever) {
       // Standbys try one after the other: by the order of their names, and a little chance.
       Time rank = 0;
@@ -81,7 +80,6 @@
   }
   campaign_at_ = kNever;
   if (const auto l = decode_leader(item->value)) {
-    if (leader_name_ != l->node) leader_heard_ = clock_.now;
     leader_name_ = l->node;
     epoch_ = std::max(epoch_, l->epoch);
   }
