--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -62,7 +62,8 @@
       total += {s.need.cpus * left, s.need.gpus * left, 0};
       job->guaranteed = job->team->within_guarantee(total);
     }
-    if (job->queued > 0 && job->not_before <= clock_.now)
+    // A team that the settings no longer name has no queue.
+    if (job->team != nullptr && job->queued > 0 && job->not_before <= clock_.now)
       waiting[static_cast<std::size_t>(s.priority)].push_back(job);
   }
   return waiting;
@@ -117,9 +118,9 @@
   }
   const Time looks = static_cast<Time>(examined_ - examined);
   const Time reports = std::max<Time>(1, static_cast<Time>(tables_.machines.size()));
-  next_placement_ = now + std::clamp<Time>(looks * report_interval() / (kLooksPerReport * reports),
-                                           std::max<Time>(10, report_interval() / kPassesPerReport),
-                                           report_interval());
+  const Time least = std::max<Time>(10, report_interval() / kPassesPerReport);
+  const Time by_looks = looks * report_interval() / (kLooksPerReport * reports);
+  next_placement_ = now + std::max(least, std::min(by_looks, report_interval()));
 }
 
 bool Core::place_job(Job& job) {
