Tidy up: one way to tell a machine's room, what takes work, and what a record reserves

`in_next_round` said the same as `dirty`, which a task's end needn't set, as its job is touched right after. A variable named `lent` meant what a team is owed.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -222,6 +222,7 @@
   void begin_rebuild();
   void rebuild_tick();
   void inquire(Machine& m);
+  void inquire_if_due(Machine& m);
 
   // reports.cpp
   void worker_report(const WorkerReport& input);
@@ -280,6 +281,15 @@
   Machine* choose(const Job& job, bool may_queue_fetch);
   Machine* moved_to(const Job& job, std::uint32_t index);
   [[nodiscard]] bool usable(const Machine& m) const;
+  /// Usable, and not being emptied.
+  [[nodiscard]] bool open(const Machine& m) const { return usable(m) && !m.retiring; }
+  using Promises = std::unordered_map<const Machine*, Resources>;
+  /// What a machine has free beside what is promised there.
+  [[nodiscard]] static Resources room_beside(const Promises& promised, const Machine& m);
+  /// The same of this pass's claims, once what is to be stopped there has gone.
+  [[nodiscard]] Resources room_to_come(const Machine& m) const;
+  /// Room has grown: what the present pass found to be in vain may not be so any more.
+  void forget_in_vain();
   using Queues = std::array<std::vector<Job*>, kPriorities>;
   [[nodiscard]] Queues note_guarantees();
   void queue_order(std::vector<Job*>& jobs) const;
@@ -308,9 +318,8 @@
   void return_idle();
   [[nodiscard]] std::pair<Resources, Resources> ordinary_room() const;
   void retire(const std::function<bool(const Machine&)>& spare);
-  [[nodiscard]] const Machine* warm_room(
-      const Placement& p, const Machine& from,
-      const std::unordered_map<const Machine*, Resources>& promised) const;
+  [[nodiscard]] const Machine* warm_room(const Placement& p, const Machine& from,
+                                         const Promises& promised) const;
   void send_releases();
   void release(Machine& m, const char* why);
   void drain(Machine& m, const char* why);
@@ -454,7 +463,7 @@
   };
   std::unordered_map<std::string, Move> moves_;
   /// Room on machines that the present pass has promised to tasks of higher priority.
-  std::unordered_map<const Machine*, Resources> claims_;
+  Promises claims_;
   /// What the present pass has found no room for, and nothing to stop for. Room only shrinks within
   /// a pass; where it grows, these are forgotten.
   std::vector<Want> full_;
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -383,12 +383,12 @@
   Machine* best = nullptr;
   std::size_t best_moves = 0;
   std::vector<std::pair<Placement*, const Machine*>> best_plan;
-  std::unordered_map<const Machine*, Resources> under_way;
+  Promises under_way;
   for (const auto& [task, move] : moves_)
     if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
-    if (m.spot || !usable(m) || m.retiring || m.empty() || !spare(m)) continue;
+    if (m.spot || !open(m) || m.empty() || !spare(m)) continue;
     Resources moved;
     std::size_t moves = 0;
     bool possible = true;
@@ -405,7 +405,7 @@
     auto promised = under_way;
     std::vector<std::pair<Placement*, const Machine*>> plan;
     for (Placement& p : m.placements)
-      if (possible && p.held && p.job->spec().kind == JobKind::Service) {
+      if (p.held && p.job->spec().kind == JobKind::Service) {
         const Machine* to = warm_room(p, m, promised);
         possible = to != nullptr;
         if (!possible) break;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,6 +15,24 @@
          clock_.now >= m.shunned_until;
 }
 
+Resources Core::room_beside(const Promises& promised, const Machine& m) {
+  Resources room = m.room();
+  if (const auto it = promised.find(&m); it != promised.end()) room -= it->second;
+  return room;
+}
+
+Resources Core::room_to_come(const Machine& m) const {
+  Resources room = room_beside(claims_, m);
+  for (const Placement& p : m.placements)
+    if (p.held && (p.stop || p.moving)) room += p.need;
+  return room;
+}
+
+void Core::forget_in_vain() {
+  full_.clear();
+  immovable_.clear();
+}
+
 bool Core::never_fits(const JobSpec& s, std::string& why) const {
   const TeamBook* team = nullptr;
   for (const TeamBook& t : tables_.teams)
@@ -90,8 +108,7 @@
     if (const Machine* m = tables_.machine(move.to)) claims_[m] += move.need;
   unmet_.clear();
   unmet_of_team_.clear();
-  full_.clear();
-  immovable_.clear();
+  forget_in_vain();
   for (auto& [name, m] : tables_.machines) {
     m->reserved.fill(0);
     for (const CachedImage& c : m->images)
@@ -156,8 +173,8 @@
     if (m == nullptr) m = choose(job, gang);
     if (m != nullptr && !gang) {
       const bool late = late_if_cold(job, *m, "wait");
-      const bool lent = job.guaranteed && late_if_cold(job, *m, "guarantee");
-      if ((late && make_room(job, true)) || ((late || lent) && move_for(job))) {
+      const bool owed = job.guaranteed && late_if_cold(job, *m, "guarantee");
+      if ((late && make_room(job, true)) || ((late || owed) && move_for(job))) {
         ++waiting;
         continue;
       }
@@ -229,8 +246,7 @@
       const Placement& p = m->placements[i];
       if (p.job == &job && p.state == PlaceState::Reserved) tables_.erase(*m, i);
     }
-  full_.clear();
-  immovable_.clear();
+  forget_in_vain();
 }
 
 // Rises across epochs with nothing remembered.
@@ -244,9 +260,8 @@
   Machine* m = tables_.machine(node.mapped().to);
   if (m == nullptr) return nullptr;
   claims_[m] -= node.mapped().need;
-  full_.clear();
-  immovable_.clear();
-  const bool possible = usable(*m) && !m->retiring && m->has_image(job.spec().image) &&
+  forget_in_vain();
+  const bool possible = open(*m) && m->has_image(job.spec().image) &&
                         job.spec().need.fits_in(m->room()) && tables_.allowed(job, *m);
   return possible ? m : nullptr;
 }
@@ -262,9 +277,8 @@
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     ++examined_;
-    if (!usable(m) || m.retiring) continue;
-    Resources room = m.room();
-    if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
+    if (!open(m)) continue;
+    const Resources room = room_beside(claims_, m);
     if (!s.need.fits_in(room) || !tables_.suits(s, m)) continue;
     room_at_all = true;
     if (!tables_.zone_open(job, m)) continue;
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -73,12 +73,9 @@
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     ++examined_;
-    if (!usable(m) || m.retiring || !tables_.allowed(job, m)) continue;
+    if (!open(m) || !tables_.allowed(job, m)) continue;
     if (warm_only && !m.has_image(s.image)) continue;
-    Resources room = m.room();
-    if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
-    for (const Placement& p : m.placements)
-      if (p.held && (p.stop || p.moving)) room += p.need;
+    Resources room = room_to_come(m);
     std::vector<Placement*> victims;
     double cost = m.has_image(s.image) ? 0 : 1;
     if (!s.need.fits_in(room)) {
@@ -186,11 +183,8 @@
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     ++examined_;
-    if (!usable(m) || m.retiring || !m.has_image(s.image) || !tables_.allowed(job, m)) continue;
-    Resources room = m.room();
-    if (const auto c = claims_.find(&m); c != claims_.end()) room -= c->second;
-    for (const Placement& p : m.placements)
-      if (p.held && (p.stop || p.moving)) room += p.need;
+    if (!open(m) || !m.has_image(s.image) || !tables_.allowed(job, m)) continue;
+    Resources room = room_to_come(m);
     auto promised = claims_;
     std::vector<std::pair<Placement*, const Machine*>> plan;
     for (Placement& p : m.placements) {
@@ -219,19 +213,16 @@
 }
 
 // A machine that holds the image of a running replica and has room for it, beside what is promised.
-const Machine* Core::warm_room(
-    const Placement& p, const Machine& from,
-    const std::unordered_map<const Machine*, Resources>& promised) const {
+const Machine* Core::warm_room(const Placement& p, const Machine& from,
+                               const Promises& promised) const {
   const JobSpec& s = p.job->spec();
   for (const auto& [name, m] : tables_.machines) {
-    if (m.get() == &from || m->spot != from.spot || m->retiring || !usable(*m)) continue;
+    if (m.get() == &from || m->spot != from.spot || !open(*m)) continue;
     if (!m->has_image(s.image)) continue;
     // In its own zone, what the job asks of its tasks' zones stays as it is.
     if (m->zone == from.zone ? !tables_.type_allowed(s, m->type) : !tables_.allowed(*p.job, *m))
       continue;
-    Resources room = m->room();
-    if (const auto it = promised.find(m.get()); it != promised.end()) room -= it->second;
-    if (s.need.fits_in(room)) return m.get();
+    if (s.need.fits_in(room_beside(promised, *m))) return m.get();
   }
   return nullptr;
 }
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -46,7 +46,7 @@
   for (const auto& [id, shard] : image.shard_of) {
     if (shards_.size() <= shard) shards_.resize(shard + 1);
     const JobRecord& r = image.jobs.at(id);
-    const std::size_t reserve = r.final ? 48 : encode_record(r).size() + 24;
+    const std::size_t reserve = record_reserve(r.final, encode_record(r).size());
     shards_[shard].ids.insert(id);
     shards_[shard].reserved += reserve;
     shard_of_[id] = {shard, reserve};
@@ -108,7 +108,7 @@
     if (!m->recorded || m->reported) continue;
     if (m->lease_passed || now >= expiry(*m)) continue;
     missing.push_back(m.get());
-    if (!m->probing && now >= m->probe_at) inquire(*m);
+    inquire_if_due(*m);
   }
   // One that died with the former leader, or that this had returned without having written so,
   // would hold up everything for its lease (recorded incident: 22 s). Returning it proves it gone.
@@ -125,6 +125,10 @@
   log(Log::Level::Info, "event=rebuilt after_ms=", now - led_since_);
 }
 
+void Core::inquire_if_due(Machine& m) {
+  if (!m.probing && clock_.now >= m.probe_at) inquire(m);
+}
+
 // Fences a worker and brings its report. Without orders, it does no harm however late it arrives.
 void Core::inquire(Machine& m) {
   // The others wait for the next tick. With more machines than sockets, those that got none once
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -454,7 +454,7 @@
       continue;
     }
     if (!in_command(now)) continue;
-    if (!m.probing && now >= m.probe_at) inquire(m);
+    inquire_if_due(m);
   }
   if (in_command(now) && silent > 0) look_for_dead(few);
 }
@@ -464,7 +464,6 @@
 // is reached, the fault is rather between us and the zone, and leases are waited for: when two
 // zones were apart, a rule by the share of silent machines alone returned healthy ones.
 void Core::look_for_dead(bool few) {
-  const Time now = clock_.now;
   struct Zone {
     std::size_t up = 0, silent = 0;
     Machine* witness = nullptr;
@@ -490,8 +489,8 @@
       // An inquiry that left before the zone was reached says nothing: it may have met the end of a
       // cut that others were out of a moment sooner.
       if (reached <= m->probe_failed && zone.silent * kDeadShare <= zone.up) release(*m, "silent");
-    } else if (!zone.witness->probing && now >= zone.witness->probe_at) {
-      inquire(*zone.witness);
+    } else {
+      inquire_if_due(*zone.witness);
     }
   }
 }
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -9,7 +9,6 @@
 /// The head keeps the latest changes while they are few; then they move to their shards.
 constexpr double kHeadFill = 0.6;
 constexpr std::size_t kTxnBytes = 64 * 1024;
-constexpr std::size_t kFinalRecordBytes = 48;
 }  // namespace
 
 bool Core::round_needed() const {
@@ -144,8 +143,7 @@
     std::map<std::size_t, std::vector<std::string>> by_shard;
     for (const auto& [id, text] : r.tail) {
       const Job* job = tables_.job(id);
-      std::size_t reserve = kFinalRecordBytes;
-      if (job != nullptr && !job->record.final) reserve = text.size() + 24;
+      const std::size_t reserve = record_reserve(job == nullptr || job->record.final, text.size());
       by_shard[shard_for(id, reserve)].push_back(id);
     }
     for (const auto& [shard, ids] : by_shard) {
@@ -172,7 +170,7 @@
         }
         const Job* job = tables_.job(id);
         auto& reserve = shard_of_[id].second;
-        reserve = job != nullptr && !job->record.final ? text.size() + 24 : kFinalRecordBytes;
+        reserve = record_reserve(job == nullptr || job->record.final, text.size());
         reserved += reserve;
         size += text.size() + 1;
         records.push_back(std::move(text));
@@ -213,7 +211,7 @@
   std::set<std::string> postponed;
   for (Job* job : left) postponed.insert(job->spec().id);
   for (auto& [id, job] : changed) {
-    job->dirty = job->in_next_round = false;
+    job->dirty = false;
     r.jobs.push_back({id, job->record.phase, job->record.final, job->record.started});
   }
   dirty_jobs_ = std::move(left);
@@ -344,8 +342,8 @@
 }
 
 void Core::touch(Job& job) {
-  if (!job.in_next_round) dirty_jobs_.push_back(&job);
-  job.dirty = job.in_next_round = true;
+  if (!job.dirty) dirty_jobs_.push_back(&job);
+  job.dirty = true;
 }
 
 // The job's last record is written: only its final state is kept.
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -79,6 +79,10 @@
 /// A job carries its description for as long as tasks of it may be on a machine, since they count
 /// against its team; then it shrinks to its id, phase and size.
 std::string encode_record(const JobRecord& record);
+/// What is set aside for a record in its shard, so that small changes of it fit where it lies.
+constexpr std::size_t record_reserve(bool final, std::size_t text_bytes) {
+  return final ? 48 : text_bytes + 24;
+}
 
 struct LeaderRecord {
   std::string node;
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -236,7 +236,6 @@
     if (job.team != nullptr) job.team->used -= job.spec().need;
   }
   task.state = TaskState::Done;
-  job.dirty = true;
   if (job.spec().tasks > kInlineBits) job.dirty_pieces.insert(index / kPieceBits);
 }
 
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -39,8 +39,7 @@
   bool committed = false;                 // its acceptance is in the checkpoint
   Phase committed_phase = Phase::Active;  // what users may be told
   std::uint32_t started = 0;              // as the checkpoint has it: tasks below may have started
-  bool dirty = false;                     // differs from the checkpoint
-  bool in_next_round = false;             // is among those that the next round looks at
+  bool dirty = false;  // differs from the checkpoint, and the next round looks at it
   std::set<std::size_t> dirty_pieces;
   std::uint64_t order = 0;  // of acceptance
   TeamBook* team = nullptr;
