--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -7,6 +7,9 @@
 namespace {
 /// Ticks are a twentieth of a worker's report interval apart, but never finer than timers are.
 Time tick_ms(const Settings& s) { return std::clamp<Time>(ms(s.workers.report_s) / 20, 40, 200); }
+/// One in so many of our sockets may wait for workers' answers to direct calls; a few more are open
+/// for calls that are just over.
+constexpr std::size_t kCallShare = 5;
 }  // namespace
 
 Core::Core(Settings settings, Options options, std::uint64_t seed)
@@ -70,6 +73,7 @@
       if (placement_dirty_ && clock_.now >= next_placement_) place_all();
       fleet_tick();
       move_tick();
+      stop_tick();
     }
   }
   out_.push_back(ArmTimer{tick_ms(settings_)});
@@ -120,4 +124,8 @@
                             std::max<Time>(worker_lease() / 14, 500), command_until()});
 }
 
+bool Core::calls_full() const {
+  return worker_calls_.size() >= settings_.limits.sockets / kCallShare;
+}
+
 }  // namespace sailreel
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -161,6 +161,7 @@
   bool call_cloud(CloudCall request, CloudThen then, bool keep_reserve);
   using WorkerThen = std::function<void(int, const std::optional<Report>&)>;
   void call_worker(const std::string& address, std::string body, WorkerThen then);
+  [[nodiscard]] bool calls_full() const;
   [[nodiscard]] Time command_until() const { return lease_deadline_; }
   [[nodiscard]] Time report_interval() const { return ms(settings_.workers.report_s); }
   [[nodiscard]] Time worker_lease() const { return ms(settings_.workers.lease_s); }
@@ -302,6 +303,7 @@
   [[nodiscard]] bool movable(const Placement& p) const;
   void move(Placement& p, const Machine& from, const Machine& to);
   void move_tick();
+  void stop_tick();
   [[nodiscard]] bool may_stop(const Job& job, const Placement& p) const;
   void stop_task(Placement& p, double grace_s);
   void stop_job(Job& job);
@@ -462,6 +464,7 @@
     bool begun = false;  // the replica was told to stop
   };
   std::unordered_map<std::string, Move> moves_;
+  std::set<std::string> stops_due_;  // machines with stops that haven't left yet
   /// Room on machines that the present pass has promised to tasks of higher priority.
   Promises claims_;
   /// What the present pass has found no room for, and nothing to stop for. Room only shrinks within
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -251,6 +251,7 @@
   unmet_.clear();
   claims_.clear();
   moves_.clear();
+  stops_due_.clear();
   zone_reached_.clear();
   worker_calls_.clear();
   cloud_calls_.clear();
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -21,6 +21,31 @@
   // A second stop may only shorten: that ends a task that is saving.
   p.grace_s = p.stop ? std::min(p.grace_s, grace_s) : grace_s;
   p.stop = true;
+  if (p.held && p.job != nullptr)
+    if (const Machine* m = p.job->tasks[p.key.index].machine) stops_due_.insert(m->name);
+}
+
+// Stops also go straight to the machine: until its next report, which may be more than a report's
+// interval away, a cancelled task would run for nothing and work that waits for its room would wait
+// on. They go with the answers to reports all the same, so nothing depends on these; one that
+// arrives late finds its attempt gone, and does no harm.
+void Core::stop_tick() {
+  while (!stops_due_.empty() && !calls_full()) {
+    Machine* m = tables_.machine(*stops_due_.begin());
+    stops_due_.erase(stops_due_.begin());
+    if (m == nullptr || !m->reported || m->silent || m->releasing || m->address.empty()) continue;
+    std::vector<Command> stops;
+    for (const Placement& p : m->placements)
+      if (p.stop && (p.state == PlaceState::Fetching || p.state == PlaceState::Running))
+        stops.push_back({Command::Op::Stop, p.key, p.attempt, p.grace_s});
+    if (stops.empty()) continue;
+    call_worker(m->address, encode_direct(epoch_, m->session, stops),
+                [this, name = m->name](int status, const std::optional<Report>& report) {
+                  if (status == 200 && report && report->machine == name &&
+                      report->token == epoch_ && tables_.machine(name) != nullptr)
+                    take_report(*report, true);
+                });
+  }
 }
 
 // Stops all of a job's tasks. Starts that haven't left are dropped; those that have are stopped in
@@ -139,10 +164,9 @@
                               p.key,     p.attempt};
 }
 
-// Replicas on the move are stopped by a direct command just before the machine that awaits them may
-// report, as the start goes out with the answer: they are down for a fraction of a report's
-// interval, not for more than one. A stop that arrives late finds its attempt gone, and does no
-// harm; a direct start would have to be waited for, perhaps for minutes.
+// Replicas on the move are stopped just before the machine that awaits them may report, as the start
+// goes out with the answer: they are down for a fraction of a report's interval, not for more than
+// one. Only the stop goes directly; a direct start would have to be waited for, perhaps for minutes.
 void Core::move_tick() {
   const Time soonest = report_interval() * 3 / 4;
   for (auto it = moves_.begin(); it != moves_.end();) {
@@ -161,15 +185,6 @@
     if (move.begun || clock_.now - to->came < soonest) continue;
     move.begun = true;
     stop_task(*p, grace_for(*p->job));
-    if (from->address.empty()) continue;
-    call_worker(
-        from->address,
-        encode_direct(epoch_, from->session, {{Command::Op::Stop, p->key, p->attempt, p->grace_s}}),
-        [this, name = move.from](int status, const std::optional<Report>& report) {
-          if (status == 200 && report && report->machine == name && report->token == epoch_ &&
-              tables_.machine(name) != nullptr)
-            take_report(*report, true);
-        });
   }
 }
 
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -5,11 +5,6 @@
 #include "protocol/worker_codec.hpp"
 
 namespace sailreel {
-namespace {
-/// One in so many of our sockets may wait for inquiries' answers; a few more are open for calls
-/// that are just over.
-constexpr std::size_t kInquiryShare = 5;
-}  // namespace
 
 void Core::begin_rebuild() {
   role_ = Role::Leader;
@@ -133,7 +128,7 @@
 void Core::inquire(Machine& m) {
   // The others wait for the next tick. With more machines than sockets, those that got none once
   // counted as failed, and a take-over took a second longer.
-  if (m.address.empty() || worker_calls_.size() >= settings_.limits.sockets / kInquiryShare) return;
+  if (m.address.empty() || calls_full()) return;
   m.probing = true;
   const std::string name = m.name;
   const Time sent = clock_.now;
