--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -59,6 +59,7 @@
         }
       },
       input);
+  if (in_command(clock_.now)) stop_tick();
   if (role_ == Role::Leader) maybe_commit();
   return std::move(out_);
 }
@@ -73,7 +74,6 @@
       if (placement_dirty_ && clock_.now >= next_placement_) place_all();
       fleet_tick();
       move_tick();
-      stop_tick();
     }
   }
   out_.push_back(ArmTimer{tick_ms(settings_)});
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -188,6 +188,7 @@
   void lead_submit(const UserRequest& request);
   void lead_query(const UserRequest& request);
   void lead_cancel(const UserRequest& request);
+  void cancel_over(Job& job);
   void forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
                std::size_t sibling);
   void peer_answer(std::size_t sibling, const PeerAnswer& answer);
@@ -384,6 +385,12 @@
     Time since = 0;
   };
   std::vector<Lookup> lookups_, lookups_served_;
+  /// Who waits for a job's tasks to be gone, to be told that it is cancelled.
+  struct CancelWait {
+    Origin origin;
+    Time until = 0;
+  };
+  std::unordered_map<std::string, std::vector<CancelWait>> cancel_waits_;
   bool refreshing_ = false;
   Time next_refresh_ = 0;
 
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -234,6 +234,9 @@
   if (!led) return;
   for (const Waiter& w : round_.waiters) refuse(w.origin, "leadership lost");
   for (const Waiter& w : waiting_next_) refuse(w.origin, "leadership lost");
+  for (const auto& [id, waits] : cancel_waits_)
+    for (const CancelWait& w : waits) refuse(w.origin, "leadership lost");
+  cancel_waits_.clear();
   waiting_next_.clear();
   round_ = Round{};
   round_open_ = false;
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -9,6 +9,8 @@
 constexpr Time kLookupMs = 1'900;
 /// A submission is given 5 s by its user, and a commit may take a retry.
 constexpr Time kForwardCommitMs = 3'000;
+/// So long a cancellation waits for its tasks' machines before its user is told to ask again.
+constexpr Time kCancelMs = 1'000;
 constexpr Time kRefreshEveryMs = 200;
 /// What the state service gives in a page of keys (protocol, "Controller nodes -> state service").
 constexpr double kPageKb = 512;
@@ -94,16 +96,25 @@
     return answer_job(r.origin, 200, view(r.id, f->second));
   Job* job = tables_.job(r.id);
   if (job == nullptr) return answer(r.origin, 404, encode_error("no such job"), 0, command_until());
-  if (job->active()) {
-    // Whichever of done and cancelled is written first stands.
-    job->record.phase = Phase::Cancelled;
-    touch(*job);
+  if (job->record.phase != Phase::Active) return after_commit({r.origin, 200, r.id});
+  if (!job->cancelling) {
+    job->cancelling = true;
+    log(Log::Level::Info, "event=cancelled job=", r.id);
     stop_job(*job);
-    settle_job(*job);
     placement_dirty_ = true;
-    log(Log::Level::Info, "event=cancelled job=", r.id);
   }
-  after_commit({r.origin, 200, r.id});
+  cancel_waits_[r.id].push_back({r.origin, clock_.now + kCancelMs});
+  settle_job(*job);
+}
+
+// None of its tasks is on a machine any more: now it may be called cancelled. To say so sooner would
+// start the clock on machines that can't be reached: what a controller of a zone that is cut off
+// keeps alive there would outlast `cancel_s`.
+void Core::cancel_over(Job& job) {
+  job.record.phase = Phase::Cancelled;
+  const auto waits = cancel_waits_.extract(job.spec().id);
+  if (!waits) return;
+  for (const CancelWait& w : waits.mapped()) after_commit({w.origin, 200, job.spec().id});
 }
 
 void Core::forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
@@ -138,6 +149,14 @@
     else
       refuse(f.origin, "the leader does not answer");
   }
+  for (auto it = cancel_waits_.begin(); it != cancel_waits_.end();) {
+    std::erase_if(it->second, [&](const CancelWait& w) {
+      if (now < w.until) return false;
+      refuse(w.origin, "its tasks are being stopped");
+      return true;
+    });
+    it = it->second.empty() ? cancel_waits_.erase(it) : std::next(it);
+  }
   for (auto* list : {&lookups_, &lookups_served_})
     std::erase_if(*list, [&](const Lookup& l) {
       if (now - l.since < kLookupMs) return false;
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -36,7 +36,7 @@
     if (m == nullptr || !m->reported || m->silent || m->releasing || m->address.empty()) continue;
     std::vector<Command> stops;
     for (const Placement& p : m->placements)
-      if (p.stop && (p.state == PlaceState::Fetching || p.state == PlaceState::Running))
+      if (p.stop && p.state >= PlaceState::Sent && p.state <= PlaceState::Running)
         stops.push_back({Command::Op::Stop, p.key, p.attempt, p.grace_s});
     if (stops.empty()) continue;
     call_worker(m->address, encode_direct(epoch_, m->session, stops),
@@ -51,15 +51,18 @@
 // Stops all of a job's tasks. Starts that haven't left are dropped; those that have are stopped in
 // the next answer to their worker, which comes after the start was carried out or dropped.
 void Core::stop_job(Job& job) {
-  for (auto& [name, m] : tables_.machines)
-    for (std::size_t i = m->placements.size(); i-- > 0;) {
-      Placement& p = m->placements[i];
+  for (const Task& task : job.tasks) {
+    if (task.machine == nullptr) continue;
+    Machine& m = *task.machine;
+    for (std::size_t i = m.placements.size(); i-- > 0;) {
+      Placement& p = m.placements[i];
       if (p.job != &job || !p.held) continue;
       if (p.state == PlaceState::Reserved)
-        tables_.erase(*m, i);
+        tables_.erase(m, i);
       else
         stop_task(p, 0);
     }
+  }
 }
 
 // Lower priority gives way; so does what another team runs beyond its guarantee to a team that is
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -336,6 +336,7 @@
 void Core::settle_job(Job& job) {
   if (job.active() || job.record.final || job.placed > 0 || job.unknown > 0) return;
   job.record.final = true;
+  if (job.record.phase == Phase::Active) cancel_over(job);
   if (job.spec().tasks > kInlineBits)
     for (std::size_t i = 0; i * kPieceBits < job.spec().tasks; ++i) job.dirty_pieces.insert(i);
   touch(job);
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -41,6 +41,7 @@
   std::uint32_t started = 0;              // as the checkpoint has it: tasks below may have started
   bool dirty = false;  // differs from the checkpoint, and the next round looks at it
   std::set<std::size_t> dirty_pieces;
+  bool cancelling = false;  // its user asked to cancel it, and tasks may still be on machines
   std::uint64_t order = 0;  // of acceptance
   TeamBook* team = nullptr;
   bool guaranteed = false;  // fits, with its team's earlier jobs, into the guarantee
@@ -54,7 +55,8 @@
   Time not_before = 0;
 
   [[nodiscard]] const JobSpec& spec() const { return record.spec; }
-  [[nodiscard]] bool active() const { return record.phase == Phase::Active; }
+  /// To be served on.
+  [[nodiscard]] bool active() const { return record.phase == Phase::Active && !cancelling; }
   /// How many tasks may be in one zone.
   [[nodiscard]] std::uint32_t zone_cap() const {
     return spec().spread ? (spec().tasks + 1) / 2 : spec().tasks;
