--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -22,7 +22,8 @@
       write_budget_(settings_.store.write_rps * options.state_share,
                     settings_.store.write_rps * options.state_share),
       cloud_budget_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
-      sibling_views_(settings_.siblings.size()) {
+      sibling_views_(settings_.siblings.size()),
+      life_((std::uint64_t{random_()} << 32) | random_() | 1) {
   nonce_ = (std::uint64_t{random_()} << 20) ^ random_();
 }
 
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -190,7 +190,7 @@
   void lead_cancel(const UserRequest& request);
   void cancel_over(Job& job);
   void forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
-               std::size_t sibling);
+               std::size_t sibling, std::uint64_t token = 0);
   void peer_answer(std::size_t sibling, const PeerAnswer& answer);
   void intake_tick();
   void look_up(const Origin& origin, const std::string& id);
@@ -231,6 +231,7 @@
   void worker_answer(const WorkerAnswer& input);
   /// Takes in a report; false if it is a late copy.
   bool take_report(const Report& report, bool direct);
+  void drop(Machine& m, std::size_t index);
   void shun(Machine& m, const char* why);
   void session_lost(Machine& m, const char* why);
   void take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen);
@@ -242,12 +243,34 @@
   void look_for_dead(bool few);
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
-  [[nodiscard]] Time expiry(const Machine& m) const;
-  [[nodiscard]] Time report_grace() const;
   void note_fetch_begun(Machine& m, const JobSpec& spec);
   void note_fetch_ended(Machine& m, const std::string& image);
   [[nodiscard]] std::size_t fetch_limit() const;
 
+  // keepalive.cpp
+  struct SiblingView {
+    Time heard = -kNever;
+    bool leading = false, hears_leader = false, holding = false, hears_workers = false;
+    std::uint64_t epoch = 0;
+    std::uint64_t life = 0;  // 0: never heard
+    Time clock = 0;          // its own, at its latest beat
+    Time echo_at = -kNever;  // when the latest of our beats left that it had by then
+    Time alone_at = -kNever;  // when it last kept tasks alive by itself, at the latest
+  };
+  [[nodiscard]] Time keep_span() const;
+  [[nodiscard]] Time contact_span() const;
+  [[nodiscard]] bool in_contact(const SiblingView& v) const;
+  void may_keep(std::uint64_t epoch, Time until);
+  [[nodiscard]] Time siblings_answered() const;
+  [[nodiscard]] Time expiry(const Machine& m) const;
+  void hand_on(const WorkerReport& in);
+  bool steer(const WorkerReport& in);
+  [[nodiscard]] bool was_sent_away(const std::string& machine, Time within) const;
+  void send_away(const Origin& origin, const std::string& machine, std::size_t sibling);
+  void keep_alive(const Origin& origin, const std::string& machine, std::uint64_t token,
+                  bool may_send_away);
+  [[nodiscard]] std::size_t node_before() const;
+
   // placement.cpp
   /// What a machine must be to take a task, whatever runs elsewhere.
   struct Want {
@@ -357,21 +380,24 @@
   Time stand_back_until_ = 0;  // after an abdication
   std::string leader_name_;
   Time next_beat_ = 0;
-  struct SiblingView {
-    Time heard = -kNever;
-    bool leading = false, hears_leader = false;
-    std::uint64_t epoch = 0;
-  };
   std::vector<SiblingView> sibling_views_;
   Time last_path_ = 0;
+  const std::uint64_t life_;  // of this process
+
+  // keeping workers' tasks alive by ourselves: under which token, until when, and when we last did
+  std::uint64_t keep_epoch_ = 0;
+  Time keep_until_ = 0, alone_at_ = -kNever;
+  Time worker_heard_ = -kNever;  // by ourselves
+  std::unordered_map<std::string, Time> sent_away_;
 
   // followers' part in intake
   struct Forwarded {
     Origin origin;
     UserOp op = UserOp::Query;
-    std::string id;
+    std::string id;  // of the job, or of the machine that reports
     std::size_t sibling = 0;
     Time until = 0;
+    std::uint64_t token = 0;  // that a report showed
   };
   std::map<std::uint64_t, Forwarded> forwarded_;
   std::uint64_t next_forward_ = 1;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -282,10 +282,26 @@
 
 void Core::peer_beat(std::size_t sibling, const PeerBeat& beat) {
   SiblingView& v = sibling_views_[sibling];
-  v.heard = clock_.now;
+  const Time now = clock_.now;
+  if (beat.life != v.life) {
+    // What its former life may have kept alive until it ended isn't in the new one's beats.
+    if (v.life != 0) v.alone_at = std::max(v.alone_at, std::min(now, v.heard + keep_span()));
+    v.life = beat.life;
+  } else if (beat.clock < v.clock) {
+    return;  // an older one, over another connection
+  }
+  v.clock = beat.clock;
+  v.heard = now;
   v.leading = beat.leading;
   v.epoch = beat.epoch;
   v.hears_leader = beat.hears_leader;
+  v.holding = beat.holding;
+  v.hears_workers = beat.hears_workers;
+  if (beat.alone_ms) v.alone_at = std::max(v.alone_at, now - Time{*beat.alone_ms});
+  if (beat.heard_life == life_) {
+    v.echo_at = std::max(v.echo_at, Time{beat.heard_clock});
+    if (beat.leading) may_keep(beat.epoch, beat.heard_clock + Time{beat.keep_ms});
+  }
   if (role_ == Role::Leader && beat.leading && beat.epoch > epoch_)
     step_down("a sibling leads under a higher epoch");
   else if (role_ == Role::Follower)
@@ -293,13 +309,27 @@
 }
 
 void Core::send_beats() {
-  next_beat_ = clock_.now + worker_lease() / 30;
-  const bool leading = in_command(clock_.now);
+  const Time now = clock_.now;
+  next_beat_ = now + worker_lease() / 30;
+  PeerMessage m;
+  m.kind = PeerMessage::Kind::Beat;
+  PeerBeat& b = m.beat;
+  b.node = settings_.name;
+  b.epoch = epoch_;
+  b.leading = in_command(now);
+  b.hears_leader = leader_sibling() >= 0;
+  b.holding = role_ == Role::Leader && now < lease_deadline_ + keep_span();
+  b.hears_workers = now - worker_heard_ < silent_after();
+  b.life = life_;
+  b.clock = now;
+  if (alone_at_ >= 0)
+    b.alone_ms = static_cast<std::uint32_t>(std::min<Time>(now - alone_at_, UINT32_MAX));
   for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
-    PeerMessage m;
-    m.kind = PeerMessage::Kind::Beat;
-    m.beat = {settings_.name, epoch_, leading, leader_sibling() >= 0};
-    out_.push_back(SendPeer{i, std::move(m)});
+    const SiblingView& v = sibling_views_[i];
+    b.heard_life = v.life;
+    b.heard_clock = v.clock;
+    b.keep_ms = b.leading && v.life != 0 ? static_cast<std::uint32_t>(keep_span()) : 0;
+    out_.push_back(SendPeer{i, m});
   }
 }
 
@@ -307,7 +337,7 @@
   int best = -1;
   for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
     const SiblingView& v = sibling_views_[i];
-    if (v.leading && clock_.now - v.heard < worker_lease() / 8 &&
+    if (v.leading && in_contact(v) &&
         (best < 0 || v.epoch > sibling_views_[static_cast<std::size_t>(best)].epoch))
       best = static_cast<int>(i);
   }
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -303,7 +303,7 @@
   m.drain_cause = why;
   log(Log::Level::Info, "event=drain machine=", m.name, " cause=\"", why, "\"");
   for (std::size_t i = m.placements.size(); i-- > 0;)
-    if (m.placements[i].state == PlaceState::Reserved) tables_.erase(m, i);
+    if (m.placements[i].state == PlaceState::Reserved) drop(m, i);
   if (m.drain_cause == "faulty")
     for (Placement& p : m.placements)
       if (p.held && p.job != nullptr) stop_task(p, grace_for(*p.job));
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -118,14 +118,14 @@
 }
 
 void Core::forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
-                   std::size_t sibling) {
+                   std::size_t sibling, std::uint64_t token) {
   const std::uint64_t call = next_forward_++;
   const bool commits = op == UserOp::Submit || op == UserOp::Cancel;
   forwarded_[call] = {origin, op, id, sibling,
-                      clock_.now + (commits ? kForwardCommitMs : kForwardMs)};
+                      clock_.now + (commits ? kForwardCommitMs : kForwardMs), token};
   PeerMessage m;
   m.kind = PeerMessage::Kind::Request;
-  m.request = {call, op, id, std::move(body)};
+  m.request = {call, op, op == UserOp::Report ? std::string() : id, std::move(body)};
   out_.push_back(SendPeer{sibling, std::move(m)});
 }
 
@@ -146,6 +146,9 @@
     const Forwarded f = std::move(forwarded_.extract(call).mapped());
     if (f.op == UserOp::Query)
       look_up(f.origin, f.id);
+    else if (f.op == UserOp::Report)
+      // Sent elsewhere now, a worker of a zone that has just been cut off would be lost.
+      keep_alive(f.origin, f.id, f.token, false);
     else
       refuse(f.origin, "the leader does not answer");
   }
--- /dev/null
+++ b/src/coordination/keepalive.cpp
@@ -0,0 +1,140 @@
+// What keeps workers' tasks alive while no leader can be reached, and how long a leader has to
+// reckon with that.
+#include "coordination/core.hpp"
+#include "protocol/worker_codec.hpp"
+
+namespace sailreel {
+namespace {
+/// Tasks are kept alive without a leader for so many of the workers' leases. It bridges a zone's cut
+/// or an outage of less than three leases; a zone that is truly gone is replaced that much later.
+constexpr int kKeepLeases = 2;
+/// A worker isn't sent to a nearer node again before so many leases have passed.
+constexpr int kSteerLeases = 4;
+/// What is known of workers that were sent away is tidied up beyond so many.
+constexpr std::size_t kManySentAway = 2'000;
+}  // namespace
+
+Time Core::keep_span() const { return kKeepLeases * worker_lease(); }
+
+// Beats come a thirtieth of a lease apart; a sibling whose echo of ours is older than this may have
+// lost us.
+Time Core::contact_span() const { return worker_lease() / 10; }
+
+bool Core::in_contact(const SiblingView& v) const {
+  return clock_.now - v.heard < worker_lease() / 8;
+}
+
+void Core::may_keep(std::uint64_t epoch, Time until) {
+  if (epoch < keep_epoch_) return;
+  if (epoch > keep_epoch_) keep_until_ = 0;
+  keep_epoch_ = epoch;
+  keep_until_ = std::max(keep_until_, until);
+}
+
+// The latest moment at which a sibling may have answered a report by itself, as far as it matters:
+// one that had our beat within the contact span said when it last did; one that we have lost may go
+// on for as long as our last answer to its beats allowed.
+Time Core::siblings_answered() const {
+  Time latest = -kNever;
+  for (const SiblingView& v : sibling_views_) {
+    if (v.life == 0) continue;
+    latest = std::max(latest, v.alone_at);
+    if (clock_.now - v.echo_at > contact_span())
+      latest = std::max(latest, v.heard + surely(keep_span()));
+  }
+  return latest;
+}
+
+// The moment by which the tasks on a machine have surely ended, unless it is answered again. What
+// siblings say holds as of the contact span ago: a lease has to have run out by then.
+Time Core::expiry(const Machine& m) const {
+  const Time last = std::max(m.answered, siblings_answered());
+  const Time ours = last + surely(worker_lease()) + contact_span();
+  // Until the worker has seen our token, a former leader's answers may still renew its lease, and
+  // so may those of the nodes that heard that leader.
+  return m.reported ? ours : std::max(ours, fence_at_);
+}
+
+// A report to a node that doesn't lead. It is handed on, not sent away: a worker that can't reach
+// the leader itself, as when two zones are apart, lost its tasks while it was sent to and fro.
+void Core::hand_on(const WorkerReport& in) {
+  if (in.origin.kind == Origin::Kind::Peer)
+    return answer(in.origin, 503, encode_error("no leader"));
+  int sibling = leader_sibling();
+  // A leader whose lease may have lapsed still keeps tasks alive.
+  for (std::size_t i = 0; sibling < 0 && i < sibling_views_.size(); ++i)
+    if (sibling_views_[i].holding && in_contact(sibling_views_[i])) sibling = static_cast<int>(i);
+  if (sibling < 0) return keep_alive(in.origin, in.report.machine, in.report.token, true);
+  if (!steer(in))
+    forward(in.origin, UserOp::Report, in.report.machine, in.raw, static_cast<std::size_t>(sibling),
+            in.report.token);
+}
+
+// Sends a worker to a node of its own zone. When a zone was cut off, workers that reported to nodes
+// outside went from one to the next of them, 5 s each, until their leases had run out.
+bool Core::steer(const WorkerReport& in) {
+  const std::string& zone = in.report.zone;
+  if (in.origin.kind != Origin::Kind::Local || zone == settings_.zone) return false;
+  std::vector<std::size_t> near;
+  for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
+    const SiblingView& v = sibling_views_[i];
+    // One that hears no worker may be cut off from them.
+    if (settings_.siblings[i].zone == zone && in_contact(v) && v.hears_workers &&
+        (v.leading || v.hears_leader))
+      near.push_back(i);
+  }
+  if (near.empty() || was_sent_away(in.report.machine, kSteerLeases * worker_lease())) return false;
+  send_away(in.origin, in.report.machine,
+            near[random_(static_cast<std::uint32_t>(near.size()))]);
+  return true;
+}
+
+bool Core::was_sent_away(const std::string& machine, Time within) const {
+  const auto it = sent_away_.find(machine);
+  return it != sent_away_.end() && clock_.now - it->second < within;
+}
+
+void Core::send_away(const Origin& origin, const std::string& machine, std::size_t sibling) {
+  if (sent_away_.size() > kManySentAway)
+    std::erase_if(sent_away_, [&](const auto& s) {
+      return clock_.now - s.second >= kSteerLeases * worker_lease();
+    });
+  sent_away_[machine] = clock_.now;
+  answer(origin, 421, encode_redirect(settings_.siblings[sibling].name));
+}
+
+// No leader can be reached. If that is so for the whole zone, its workers' tasks live on only if we
+// answer; if it is so for us alone, the worker had better go elsewhere. Each is tried out once on
+// the node before us: if that can't be reached, the worker comes back to us next.
+void Core::keep_alive(const Origin& origin, const std::string& machine, std::uint64_t token,
+                      bool may_send_away) {
+  if (clock_.now >= keep_until_ || token != keep_epoch_)
+    return answer(origin, 503, encode_error("no leader"));
+  if (may_send_away && !was_sent_away(machine, worker_lease())) {
+    for (std::size_t i = 0; i < sibling_views_.size(); ++i)
+      if (sibling_views_[i].hears_leader && in_contact(sibling_views_[i]))
+        return send_away(origin, machine, i);
+    if (!settings_.siblings.empty()) return send_away(origin, machine, node_before());
+  }
+  alone_at_ = clock_.now;
+  answer(origin, 200, encode_report_answer(keep_epoch_, {}), 0, keep_until_);
+}
+
+// The sibling that workers try just before us: they go by the nodes' numbers, the last of which the
+// first follows.
+std::size_t Core::node_before() const {
+  const auto less = [](const std::string& a, const std::string& b) {
+    return a.size() != b.size() ? a.size() < b.size() : a < b;
+  };
+  std::optional<std::size_t> before;
+  std::size_t last = 0;
+  for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
+    const std::string& name = settings_.siblings[i].name;
+    if (less(settings_.siblings[last].name, name)) last = i;
+    if (less(name, settings_.name) && (!before || less(settings_.siblings[*before].name, name)))
+      before = i;
+  }
+  return before.value_or(last);
+}
+
+}  // namespace sailreel
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -9,7 +9,7 @@
 void Core::begin_rebuild() {
   role_ = Role::Leader;
   const Time now = clock_.now;
-  fence_at_ = led_since_ + surely(report_grace() + worker_lease());
+  fence_at_ = led_since_ + surely(keep_span() + worker_lease());
   rebuilding_ = true;
   next_attempt_ = 1;
   next_rental_ = 1;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -17,44 +17,24 @@
 constexpr std::size_t kDeadShare = 3;
 }  // namespace
 
-// How long a leader whose lease may have lapsed goes on answering reports, without commands. A
-// share of what cancel_s leaves beside a worker's lease: a successor may have confirmed a
-// cancellation meanwhile, and its tasks have to end in time even on a machine that only we reach.
-Time Core::report_grace() const {
-  return ms((settings_.workers.cancel_s - settings_.workers.lease_s) * 0.6);
-}
-
-// The moment by which the tasks on a machine have surely ended, unless it is answered again.
-Time Core::expiry(const Machine& m) const {
-  const Time ours = m.answered + surely(worker_lease());
-  // Until the worker has seen our token, a former leader's answers may still renew its lease.
-  return m.reported ? ours : std::max(ours, fence_at_);
-}
-
 void Core::worker_report(const WorkerReport& in) {
   const Time now = clock_.now;
   const Report& r = in.report;
-  if (role_ != Role::Leader) {
-    const int sibling = leader_sibling();
-    if (sibling < 0 || in.origin.kind == Origin::Kind::Peer)
-      return answer(in.origin, 503, encode_error("no leader"));
-    // Handed on, not sent away: a worker that can't reach the leader itself, as when two zones are
-    // apart, lost its tasks while it was sent to and fro; and after a take-over the workers of the
-    // nodes that stay needn't look for the new leader.
-    return forward(in.origin, UserOp::Report, {}, in.raw, static_cast<std::size_t>(sibling));
-  }
+  if (in.origin.kind == Origin::Kind::Local) worker_heard_ = now;
+  if (role_ != Role::Leader) return hand_on(in);
   if (r.token > epoch_) {
     step_down("a worker has seen a higher token");
     return answer(in.origin, 421, encode_redirect({}));
   }
   if (!in_command(now)) {
     // The worker's tasks live on for a bounded time while we can't tell whether we still lead.
-    if (now >= lease_deadline_ + report_grace())
+    if (now >= lease_deadline_ + keep_span())
       return answer(in.origin, 503, encode_error("lease lapsed"));
     if (Machine* m = tables_.machine(r.machine)) m->answered = m->heard = now;
     return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0,
-                  lease_deadline_ + report_grace());
+                  lease_deadline_ + keep_span());
   }
+  if (steer(in)) return;
   if (released_.contains(r.machine))
     return answer(in.origin, 503, encode_error("machine was returned"));
   Machine* m = tables_.machine(r.machine);
@@ -151,10 +131,8 @@
       log(Log::Level::Info, "event=task_vanished machine=", m.name, " task=", p.key.job, "/",
           p.key.index, " attempt=", p.attempt);
     }
-    Job* job = p.job;
-    tables_.erase(m, i);
+    drop(m, i);
     placement_dirty_ = true;
-    if (job != nullptr) settle_job(*job);
   }
   if (r.notice_s && m.notice_until == 0) {
     m.notice_until = now + ms(*r.notice_s);
@@ -168,6 +146,13 @@
   return true;
 }
 
+// Forgets what was placed there; the job may be over with that.
+void Core::drop(Machine& m, std::size_t index) {
+  Job* job = m.placements[index].job;
+  tables_.erase(m, index);
+  if (job != nullptr) settle_job(*job);
+}
+
 void Core::shun(Machine& m, const char* why) {
   m.shunned_until = clock_.now + 2 * worker_lease();
   log(Log::Level::Info, "event=shun machine=", m.name, " cause=\"", why, "\"");
@@ -177,11 +162,7 @@
   if (m.placements.empty()) return;
   log(Log::Level::Info, "event=tasks_gone machine=", m.name, " count=", m.placements.size(),
       " cause=\"", why, "\"");
-  while (!m.placements.empty()) {
-    Job* job = m.placements.back().job;
-    tables_.erase(m, m.placements.size() - 1);
-    if (job != nullptr) settle_job(*job);
-  }
+  while (!m.placements.empty()) drop(m, m.placements.size() - 1);
   m.idle_since = clock_.now;
   m.fetching_now.clear();
   placement_dirty_ = true;
@@ -342,9 +323,7 @@
       if (p.settled) out.push_back({Command::Op::Forget, p.key, p.attempt, 0});
     } else if (p.stop) {
       if (p.state == PlaceState::Reserved) {
-        Job* job = p.job;
-        tables_.erase(m, i);
-        if (job != nullptr) settle_job(*job);
+        drop(m, i);
       } else if (p.state != PlaceState::Saving || p.grace_s <= 0) {
         out.push_back({Command::Op::Stop, p.key, p.attempt, p.grace_s});
       }
@@ -443,6 +422,10 @@
     if (!m.silent && now - m.heard > silent_after()) {
       m.silent = true;
       m.silent_since = now;
+      // What hasn't been sent there yet can go elsewhere at once.
+      for (std::size_t i = m.placements.size(); i-- > 0;)
+        if (m.placements[i].state == PlaceState::Reserved) drop(m, i);
+      placement_dirty_ = true;
       log(Log::Level::Info, "event=machine_silent machine=", m.name);
     }
     if (!m.silent) continue;
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -12,7 +12,7 @@
               "peer frames are little-endian and copied as they lie in memory");
 
 constexpr std::uint32_t kMagic = 0x4c525331;  // "1SRL"
-constexpr std::uint8_t kVersion = 2;
+constexpr std::uint8_t kVersion = 3;
 constexpr std::size_t kMaxText = 256;
 /// A request's body and its id, with room for the fixed part.
 constexpr std::size_t kMaxPayload = kMaxBody + 1024;
@@ -25,8 +25,12 @@
   std::uint32_t length;  // of what follows
 };
 struct BeatBody {
-  std::uint64_t epoch;
-  std::uint8_t leading, hears_leader;
+  std::uint64_t epoch, life;
+  std::int64_t clock;
+  std::uint64_t heard_life;
+  std::int64_t heard_clock;
+  std::uint32_t keep_ms, alone_ms;
+  std::uint8_t flags, reserved;
   std::uint16_t name_length;
 };
 struct RequestBody {
@@ -42,10 +46,13 @@
 };
 #pragma pack(pop)
 static_assert(sizeof(FrameHeader) == 12);
-static_assert(sizeof(BeatBody) == 12);
+static_assert(sizeof(BeatBody) == 52);
 static_assert(sizeof(RequestBody) == 15);
 static_assert(sizeof(AnswerBody) == 16);
 
+constexpr std::uint8_t kLeading = 1, kHearsLeader = 2, kHolding = 4, kHearsWorkers = 8,
+                       kWasAlone = 16;
+
 template <typename Body>
 std::string frame(PeerMessage::Kind kind, const Body& body, std::string_view a,
                   std::string_view b = {}) {
@@ -75,7 +82,18 @@
       BeatBody b;
       if (!take(payload, b) || b.name_length > kMaxText || payload.size() != b.name_length)
         return false;
-      m.beat = {std::string(payload), b.epoch, b.leading != 0, b.hears_leader != 0};
+      m.beat.node = std::string(payload);
+      m.beat.epoch = b.epoch;
+      m.beat.leading = (b.flags & kLeading) != 0;
+      m.beat.hears_leader = (b.flags & kHearsLeader) != 0;
+      m.beat.holding = (b.flags & kHolding) != 0;
+      m.beat.hears_workers = (b.flags & kHearsWorkers) != 0;
+      m.beat.life = b.life;
+      m.beat.clock = b.clock;
+      m.beat.heard_life = b.heard_life;
+      m.beat.heard_clock = b.heard_clock;
+      m.beat.keep_ms = b.keep_ms;
+      if ((b.flags & kWasAlone) != 0) m.beat.alone_ms = b.alone_ms;
       return true;
     }
     case PeerMessage::Kind::Request: {
@@ -102,12 +120,19 @@
 
 std::string encode_peer(const PeerMessage& m) {
   switch (m.kind) {
-    case PeerMessage::Kind::Beat:
-      return frame(m.kind,
-                   BeatBody{m.beat.epoch, static_cast<std::uint8_t>(m.beat.leading),
-                            static_cast<std::uint8_t>(m.beat.hears_leader),
-                            static_cast<std::uint16_t>(m.beat.node.size())},
-                   m.beat.node);
+    case PeerMessage::Kind::Beat: {
+      const PeerBeat& b = m.beat;
+      const auto flag = [](bool on, std::uint8_t bit) { return on ? unsigned{bit} : 0U; };
+      const unsigned flags = flag(b.leading, kLeading) | flag(b.hears_leader, kHearsLeader) |
+                             flag(b.holding, kHolding) | flag(b.hears_workers, kHearsWorkers) |
+                             flag(b.alone_ms.has_value(), kWasAlone);
+      return frame(
+          m.kind,
+          BeatBody{b.epoch, b.life, b.clock, b.heard_life, b.heard_clock, b.keep_ms,
+                   b.alone_ms.value_or(0), static_cast<std::uint8_t>(flags), 0,
+                   static_cast<std::uint16_t>(b.node.size())},
+          b.node);
+    }
     case PeerMessage::Kind::Request:
       return frame(m.kind,
                    RequestBody{m.request.call, static_cast<std::uint8_t>(m.request.op),
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -11,10 +11,21 @@
 namespace sailreel {
 
 /// Said by every node to every other: who it is, whether it leads, and whether it hears a leader.
+/// Times are the sender's own or, echoed, the receiver's; so that an old beat is known for one.
 struct PeerBeat {
   std::string node;
   std::uint64_t epoch = 0;
   bool leading = false, hears_leader = false;
+  bool holding = false;        // led, and still answers reports, without commands
+  bool hears_workers = false;  // by itself
+  std::uint64_t life = 0;      // of the sending process; differs after a restart
+  std::int64_t clock = 0;
+  std::uint64_t heard_life = 0;  // of the receiver's latest beat that the sender had
+  std::int64_t heard_clock = 0;
+  /// From `heard_clock` on, so long the receiver may keep workers' tasks alive by itself.
+  std::uint32_t keep_ms = 0;
+  /// How long ago the sender last did that.
+  std::optional<std::uint32_t> alone_ms;
 };
 /// A user's request or a worker's report, handed on to the leader.
 struct PeerRequest {
