--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -240,7 +240,8 @@
   void machine_tick();
   [[nodiscard]] Time silent_after() const;
   [[nodiscard]] static bool few_silent(std::size_t silent, std::size_t of);
-  void look_for_dead(bool few);
+  void look_for_dead();
+  [[nodiscard]] bool zone_away(const std::string& zone) const;
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
   void note_fetch_begun(Machine& m, const JobSpec& spec);
@@ -252,9 +253,9 @@
     Time heard = -kNever;
     bool leading = false, hears_leader = false, holding = false, hears_workers = false;
     std::uint64_t epoch = 0;
-    std::uint64_t life = 0;  // 0: never heard
-    Time clock = 0;          // its own, at its latest beat
-    Time echo_at = -kNever;  // when the latest of our beats left that it had by then
+    std::uint64_t life = 0;   // 0: never heard
+    Time clock = 0;           // its own, at its latest beat
+    Time echo_at = -kNever;   // when the latest of our beats left that it had by then
     Time alone_at = -kNever;  // when it last kept tasks alive by itself, at the latest
   };
   [[nodiscard]] Time keep_span() const;
@@ -480,6 +481,8 @@
 
   /// When a machine of the zone last answered a direct command.
   std::unordered_map<std::string, Time> zone_reached_;
+  /// When all machines of a zone were last found silent.
+  std::unordered_map<std::string, Time> zone_away_;
 
   // placement
   bool placement_dirty_ = false;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -232,6 +232,8 @@
   lookups_.insert(lookups_.end(), lookups_served_.begin(), lookups_served_.end());
   lookups_served_.clear();
   if (!led) return;
+  // Workers that know of no other leader are kept alive for as long as if we still led.
+  may_keep(epoch_, lease_deadline_ + keep_span());
   for (const Waiter& w : round_.waiters) refuse(w.origin, "leadership lost");
   for (const Waiter& w : waiting_next_) refuse(w.origin, "leadership lost");
   for (const auto& [id, waits] : cancel_waits_)
@@ -256,6 +258,7 @@
   moves_.clear();
   stops_due_.clear();
   zone_reached_.clear();
+  zone_away_.clear();
   worker_calls_.clear();
   cloud_calls_.clear();
   releasing_ = listing_ = false;
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -126,11 +126,11 @@
     const MachineType* t = tables_.type(m->type);
     if (t == nullptr) continue;
     ++by_zone[{m->type, m->spot}][m->zone];
-    if (!m->reported && now - m->rented < ms(t->boot_s * kLateBoot))
+    if (!m->reported && !zone_away(m->zone) && now - m->rented < ms(t->boot_s * kLateBoot))
       coming[{m->type, m->spot}] += 1;
   }
   for (const auto& [request, r] : rentals_) {
-    coming[{r.request.type, r.request.spot}] += r.request.count;
+    if (!zone_away(r.request.zone)) coming[{r.request.type, r.request.spot}] += r.request.count;
     by_zone[{r.request.type, r.request.spot}][r.request.zone] += static_cast<int>(r.request.count);
   }
 
@@ -214,14 +214,15 @@
     if (t->size.memory_gb > 0) machines = std::max(machines, total.memory_gb / t->size.memory_gb);
     int want = static_cast<int>(std::ceil(machines - 0.01)) - static_cast<int>(coming[kind]);
     if (want <= 0) continue;
-    // One by one to the zone that has the fewest.
+    // One by one to the zone that has the fewest, of those within reach if possible.
     std::map<std::string, std::uint32_t> split;
     auto& have = by_zone[kind];
     for (; want > 0; --want) {
       const std::string* zone = nullptr;
       for (const std::string& z : t->zones)
         if (refused_[place_key(t->name, z, kind.second)] <= now &&
-            (zone == nullptr || have[z] < have[*zone]))
+            (zone == nullptr ||
+             std::pair(zone_away(z), have[z]) < std::pair(zone_away(*zone), have[*zone])))
           zone = &z;
       if (zone == nullptr) break;
       ++have[*zone];
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -107,9 +107,9 @@
   settle_job(*job);
 }
 
-// None of its tasks is on a machine any more: now it may be called cancelled. To say so sooner would
-// start the clock on machines that can't be reached: what a controller of a zone that is cut off
-// keeps alive there would outlast `cancel_s`.
+// None of its tasks is on a machine any more: now it may be called cancelled. To say so sooner
+// would start the clock on machines that can't be reached: what a controller of a zone that is cut
+// off keeps alive there would outlast `cancel_s`.
 void Core::cancel_over(Job& job) {
   job.record.phase = Phase::Cancelled;
   const auto waits = cancel_waits_.extract(job.spec().id);
@@ -121,8 +121,8 @@
                    std::size_t sibling, std::uint64_t token) {
   const std::uint64_t call = next_forward_++;
   const bool commits = op == UserOp::Submit || op == UserOp::Cancel;
-  forwarded_[call] = {origin, op, id, sibling,
-                      clock_.now + (commits ? kForwardCommitMs : kForwardMs), token};
+  forwarded_[call] = {
+      origin, op, id, sibling, clock_.now + (commits ? kForwardCommitMs : kForwardMs), token};
   PeerMessage m;
   m.kind = PeerMessage::Kind::Request;
   m.request = {call, op, op == UserOp::Report ? std::string() : id, std::move(body)};
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -5,8 +5,9 @@
 
 namespace sailreel {
 namespace {
-/// Tasks are kept alive without a leader for so many of the workers' leases. It bridges a zone's cut
-/// or an outage of less than three leases; a zone that is truly gone is replaced that much later.
+/// Tasks are kept alive without a leader for so many of the workers' leases. It bridges a zone's
+/// cut or an outage of less than three leases; a zone that is truly gone is replaced that much
+/// later.
 constexpr int kKeepLeases = 2;
 /// A worker isn't sent to a nearer node again before so many leases have passed.
 constexpr int kSteerLeases = 4;
@@ -84,8 +85,7 @@
       near.push_back(i);
   }
   if (near.empty() || was_sent_away(in.report.machine, kSteerLeases * worker_lease())) return false;
-  send_away(in.origin, in.report.machine,
-            near[random_(static_cast<std::uint32_t>(near.size()))]);
+  send_away(in.origin, in.report.machine, near[random_(static_cast<std::uint32_t>(near.size()))]);
   return true;
 }
 
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -167,9 +167,10 @@
                               p.key,     p.attempt};
 }
 
-// Replicas on the move are stopped just before the machine that awaits them may report, as the start
-// goes out with the answer: they are down for a fraction of a report's interval, not for more than
-// one. Only the stop goes directly; a direct start would have to be waited for, perhaps for minutes.
+// Replicas on the move are stopped just before the machine that awaits them may report, as the
+// start goes out with the answer: they are down for a fraction of a report's interval, not for more
+// than one. Only the stop goes directly; a direct start would have to be waited for, perhaps for
+// minutes.
 void Core::move_tick() {
   const Time soonest = report_interval() * 3 / 4;
   for (auto it = moves_.begin(); it != moves_.end();) {
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -105,11 +105,14 @@
     missing.push_back(m.get());
     inquire_if_due(*m);
   }
-  // One that died with the former leader, or that this had returned without having written so,
-  // would hold up everything for its lease (recorded incident: 22 s). Returning it proves it gone.
+  // One that died with the former leader would hold up everything for its lease and more (recorded
+  // incident: 22 s). Returning it proves it gone.
+  if (!missing.empty()) look_for_dead();
+  // So would one that the former leader had returned without having written so; the cloud doesn't
+  // list that, and so nothing tells its zone.
   if (now - led_since_ > silent_after() && few_silent(missing.size(), recorded))
     for (Machine* m : missing)
-      if (m->probe_failures >= 2) release(*m, "silent since take-over");
+      if (m->zone.empty() && m->probe_failures >= 2) release(*m, "silent since take-over");
   if (!missing.empty()) return;
   rebuilding_ = false;
   for (auto& [id, job] : tables_.jobs) {
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -107,6 +107,7 @@
   m.seq = r.seq;
   m.heard = now;
   m.silent = false;
+  zone_away_.erase(m.zone);
   m.probe_failures = 0;
   // An answer to an inquiry renews no lease; but what the worker has at least is unknown to us
   // when we have only just met it.
@@ -439,45 +440,64 @@
     if (!in_command(now)) continue;
     inquire_if_due(m);
   }
-  if (in_command(now) && silent > 0) look_for_dead(few);
+  if (in_command(now) && silent > 0) look_for_dead();
 }
 
 // A machine that answers neither way is most likely dead, if others of its zone do answer directly.
 // Returning it proves that its tasks are gone, sooner than its lease would. Where none of the zone
 // is reached, the fault is rather between us and the zone, and leases are waited for: when two
 // zones were apart, a rule by the share of silent machines alone returned healthy ones.
-void Core::look_for_dead(bool few) {
+void Core::look_for_dead() {
+  // What was up when the former leader ended, and hasn't been heard since, is silent too.
+  const auto silent = [&](const Machine& m) {
+    return m.reported ? m.silent : m.recorded && rebuilding_ && !m.lease_passed;
+  };
   struct Zone {
     std::size_t up = 0, silent = 0;
     Machine* witness = nullptr;
   };
   std::map<std::string, Zone> zones;
+  std::size_t all_up = 0, all_silent = 0;
   for (auto& [name, m] : tables_.machines) {
-    if (!m->reported || m->releasing) continue;
+    if (m->releasing || m->zone.empty() || !(m->reported || silent(*m))) continue;
     Zone& zone = zones[m->zone];
     ++zone.up;
-    zone.silent += m->silent ? 1 : 0;
-    if (!m->silent && !m->address.empty() &&
-        (zone.witness == nullptr || m->came > zone.witness->came))
+    ++all_up;
+    if (silent(*m)) {
+      ++zone.silent;
+      ++all_silent;
+    } else if (!m->address.empty() && (zone.witness == nullptr || m->came > zone.witness->came)) {
       zone.witness = m.get();
+    }
   }
+  for (const auto& [name, zone] : zones)
+    if (zone.witness == nullptr && zone.up > 1) zone_away_[name] = clock_.now;
+  const bool few = few_silent(all_silent, all_up);
   for (auto& [name, m] : tables_.machines) {
-    if (!m->silent || m->releasing || m->probe_failures < 2) continue;
+    if (m->releasing || m->zone.empty() || !silent(*m) || m->probe_failures < 2) continue;
+    const char* why = m->reported ? "silent" : "silent since take-over";
     Zone& zone = zones[m->zone];
     const Time reached = zone_reached_[m->zone];
     if (zone.witness == nullptr) {
       // All of a zone at once is rather the zone; the only one of its zone is judged by the rest.
-      if (few && zone.up == 1) release(*m, "silent");
-    } else if (reached > m->silent_since) {
+      if (few && zone.up == 1) release(*m, why);
+    } else if (reached > (m->reported ? m->silent_since : led_since_)) {
       // An inquiry that left before the zone was reached says nothing: it may have met the end of a
       // cut that others were out of a moment sooner.
-      if (reached <= m->probe_failed && zone.silent * kDeadShare <= zone.up) release(*m, "silent");
+      if (reached <= m->probe_failed && zone.silent * kDeadShare <= zone.up) release(*m, why);
     } else {
       inquire_if_due(*zone.witness);
     }
   }
 }
 
+// Of the zone's machines none was heard a short while ago. What is rented there can't be reached
+// either: a cut zone, having lost its machines, once got all the new ones.
+bool Core::zone_away(const std::string& zone) const {
+  const auto it = zone_away_.find(zone);
+  return it != zone_away_.end() && clock_.now - it->second < 2 * worker_lease();
+}
+
 void Core::machine_gone(Machine& m, const char* why) {
   log(Log::Level::Info, "event=machine_gone machine=", m.name, " cause=\"", why, "\"");
   session_lost(m, why);
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -126,12 +126,11 @@
       const unsigned flags = flag(b.leading, kLeading) | flag(b.hears_leader, kHearsLeader) |
                              flag(b.holding, kHolding) | flag(b.hears_workers, kHearsWorkers) |
                              flag(b.alone_ms.has_value(), kWasAlone);
-      return frame(
-          m.kind,
-          BeatBody{b.epoch, b.life, b.clock, b.heard_life, b.heard_clock, b.keep_ms,
-                   b.alone_ms.value_or(0), static_cast<std::uint8_t>(flags), 0,
-                   static_cast<std::uint16_t>(b.node.size())},
-          b.node);
+      return frame(m.kind,
+                   BeatBody{b.epoch, b.life, b.clock, b.heard_life, b.heard_clock, b.keep_ms,
+                            b.alone_ms.value_or(0), static_cast<std::uint8_t>(flags), 0,
+                            static_cast<std::uint16_t>(b.node.size())},
+                   b.node);
     }
     case PeerMessage::Kind::Request:
       return frame(m.kind,
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -136,6 +136,89 @@
   EXPECT_EQ(starts, 0) << "replicas were lost and had to be started again";
 }
 
+// Seen on xela-labels-fleet (simulated machines): a zone was cut off for 2.4 leases, and all of its
+// tasks ended, though a controller in it heard their machines. Whether the leader is in the zone or
+// outside, that controller now keeps them alive, and nobody starts them elsewhere.
+TEST(Incident, AZoneThatIsCutOffKeepsItsTasks) {
+  for (const char* zone : {"za", "zb"})
+    for (const bool hold : {true, false}) {
+      DayPlan plan = quiet(18);
+      plan.loss = 0;
+      World world(plan);
+      world.run_until(1'000);
+      for (int n = 0; n < 12; ++n) {
+        JobSpec spec = service("job-" + std::to_string(n), 2);
+        spec.spread = true;
+        spec.team = n % 2 == 0 ? "red" : "blue";
+        world.submit(spec);
+      }
+      world.run_until(50'000);
+      std::size_t lost = 0, running = 0;
+      world.on_ended = [&](const TaskKey&, const std::string&) { ++lost; };
+      const Core* core = world.core(static_cast<std::size_t>(world.leader()));
+      for (const auto& [name, m] : core->tables().machines)
+        if (m->zone == zone) running += m->placements.size();
+      ASSERT_GE(running, 6U);
+      world.cut_zone(zone, 24'000, hold);
+      world.run_until(73'000);
+      EXPECT_EQ(lost, 0U) << zone << " hold=" << hold;
+      world.run_until(110'000);
+      EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+    }
+}
+
+// The bound of the above: a zone that stays away is replaced, once nothing can run there any more.
+// The checker would see a task that runs twice.
+TEST(Incident, AZoneThatStaysAwayIsReplaced) {
+  DayPlan plan = quiet(19);
+  plan.length = 160'000;
+  World world(plan);
+  world.run_until(1'000);
+  for (int n = 0; n < 12; ++n) {
+    JobSpec spec = service("job-" + std::to_string(n), 1 + static_cast<std::uint32_t>(n) % 2);
+    spec.image = "img-" + std::to_string(n);  // so that they don't all go to one machine
+    world.submit(spec);
+  }
+  world.run_until(50'000);
+  const Core* core = world.core(static_cast<std::size_t>(world.leader()));
+  const std::string away =
+      sample_settings(static_cast<std::size_t>(world.leader())).zone == "za" ? "zb" : "za";
+  std::size_t there = 0;
+  for (const auto& [name, m] : core->tables().machines)
+    if (m->zone == away) there += m->placements.size();
+  ASSERT_GE(there, 1U);
+  std::size_t started = 0;
+  world.on_command = [&](const std::string&, const Command& c) {
+    started += c.op == Command::Op::Start ? 1 : 0;
+  };
+  world.cut_zone(away, 100'000, false);
+  world.run_until(78'000);
+  EXPECT_EQ(started, 0U) << "before the zone's leases can have run out";
+  world.run_until(140'000);
+  for (const auto& [id, job] : core->tables().jobs) EXPECT_EQ(job->placed, job->spec().tasks) << id;
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
+// A cancellation is confirmed once its tasks are gone, not before: a machine that can't be reached
+// may be kept alive by others for longer than cancel_s.
+TEST(Incident, ACancellationWaitsForAMachineThatIsNotReached) {
+  World world(quiet(20));
+  world.run_until(1'000);
+  world.submit(service("job-1", 1), 51'000);
+  world.run_until(50'000);
+  const Core* core = world.core(static_cast<std::size_t>(world.leader()));
+  std::string zone;
+  for (const auto& [name, m] : core->tables().machines)
+    if (!m->empty()) zone = m->zone;
+  ASSERT_FALSE(zone.empty());
+  world.cut_zone(zone, 15'000, true);
+  world.run_until(64'000);
+  EXPECT_EQ(world.checker().jobs_over(), 0U);
+  world.run_until(80'000);
+  EXPECT_EQ(world.checker().jobs_over(), 1U);
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
 // Recorded incident: the leader lost workers and siblings, but not the state service, so it kept
 // its lease while every worker's ran out.
 TEST(Incident, ALeaderThatHearsNoWorkerGivesWay) {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -184,10 +184,9 @@
 Time World::delay() { return random_(200) == 0 ? 100 + random_(300) : 1 + random_(4); }
 
 void World::carry(const std::string& from, const std::string& to, std::function<void()> arrive) {
-  const auto key = std::minmax(from, to);
-  if (const auto it = cuts_.find({key.first, key.second});
-      it != cuts_.end() && now_ < it->second.first) {
-    if (it->second.second) at(it->second.first + delay(), std::move(arrive));
+  const auto [until, hold] = cut_between(from, to);
+  if (now_ < until) {
+    if (hold) at(until + delay(), std::move(arrive));
     return;
   }
   if (random_(1'000'000) < plan_.loss * 1'000'000) return;
@@ -206,6 +205,12 @@
 void World::feed(std::size_t i, Input input) {
   Node& n = nodes_[i];
   if (!n.core) return;
+  if (now_ < n.frozen_until) {
+    const auto held = std::make_shared<Input>(std::move(input));
+    return at(n.frozen_until, [this, i, held, life = n.life] {
+      if (nodes_[i].life == life) feed(i, std::move(*held));
+    });
+  }
   const Clock clock{static_cast<Time>(static_cast<double>(now_) * n.drift) + 1'000'000,
                     1'700'000'000'000 + now_ + static_cast<Time>(random_(10)) - 5};
   auto actions = n.core->step(clock, std::move(input));
@@ -328,10 +333,15 @@
   return r;
 }
 
+void World::ended(const TaskKey& key, const std::string& machine, bool completed) {
+  checker_.ended(key, machine, completed);
+  if (on_ended) on_ended(key, machine);
+}
+
 void World::lapse(Worker& w) {
   for (const auto& [key, list] : w.tasks)
     for (const WorkTask& t : list)
-      if (t.on) checker_.ended(t.report.key, w.machine.name, false);
+      if (t.on) ended(t.report.key, w.machine.name, false);
   w.tasks.clear();
   ++w.session;
   w.began = w.last_ok_sent = now_;
@@ -353,7 +363,7 @@
     for (WorkTask& t : list) {
       ReportedTask& r = t.report;
       const auto end = [&](ExitCause cause) {
-        if (t.on) checker_.ended(r.key, w.machine.name, cause == ExitCause::Done);
+        if (t.on) ended(r.key, w.machine.name, cause == ExitCause::Done);
         t.on = false;
         r.state = RunState::Exited;
         r.cause = cause;
@@ -460,7 +470,8 @@
     deliver({Origin::Kind::Local, call, 0});
   });
   if (random_(1000) < plan_.late_copies * 1000)
-    at(now_ + 1000 + random_(40'000), [deliver] { deliver({}); });
+    at(now_ + 1000 + random_(40'000),
+       [this, name, i, deliver] { carry(name, node_name(i), [deliver] { deliver({}); }); });
   at(now_ + kReportWait, [this, name, call, flight, sent, session] {
     answers_.erase(call);
     const auto it = workers_.find(name);
@@ -544,7 +555,7 @@
         same->report.state = RunState::Saving;
         same->exits_at = now_ + ms(user->spec.save_s);
       } else if (same->report.state != RunState::Saving || c.grace_s <= 0) {
-        if (same->on) checker_.ended(c.key, w.machine.name, false);
+        if (same->on) ended(c.key, w.machine.name, false);
         same->on = false;
         same->report.state = RunState::Exited;
         same->report.cause = ExitCause::Stopped;
@@ -701,6 +712,7 @@
   Node& n = nodes_[node];
   if (!n.core) return;
   n.core.reset();
+  n.frozen_until = 0;
   ++n.life;
   for (std::size_t j = 0; j < nodes_.size(); ++j) {
     if (j == node) continue;
@@ -719,6 +731,31 @@
   cuts_[{key.first, key.second}] = {now_ + for_ms, hold};
 }
 
+void World::cut_zone(const std::string& zone, Time for_ms, bool hold) {
+  zone_cuts_[zone] = {now_ + for_ms, hold};
+}
+
+std::string World::zone_of(const std::string& host) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (nodes_[i].name == host) return settings_[i].zone;
+  const auto it = workers_.find(host);
+  return it == workers_.end() ? std::string() : it->second.machine.zone;
+}
+
+std::pair<Time, bool> World::cut_between(const std::string& a, const std::string& b) const {
+  std::pair<Time, bool> longest{0, false};
+  const auto key = std::minmax(a, b);
+  if (const auto it = cuts_.find({key.first, key.second}); it != cuts_.end()) longest = it->second;
+  if (zone_cuts_.empty()) return longest;
+  const std::string za = zone_of(a), zb = zone_of(b);
+  if (za == zb) return longest;
+  for (const auto& [zone, cut] : zone_cuts_)
+    if (zone == za || zone == zb) longest = std::max(longest, cut);
+  return longest;
+}
+
+void World::freeze(std::size_t node, Time for_ms) { nodes_[node].frozen_until = now_ + for_ms; }
+
 void World::refuse_state(std::size_t node, Time for_ms) {
   nodes_[node].refused_until = now_ + for_ms;
 }
@@ -734,7 +771,7 @@
   w.alive = false;
   for (const auto& [key, list] : w.tasks)
     for (const WorkTask& t : list)
-      if (t.on) checker_.ended(t.report.key, name, false);
+      if (t.on) ended(t.report.key, name, false);
 }
 
 void World::hang_machine(const std::string& name, Time for_ms) {
@@ -746,7 +783,7 @@
     if (w.alive && now_ < until)
       for (auto& [key, list] : w.tasks)
         for (WorkTask& t : list) {
-          if (t.on) checker_.ended(t.report.key, name, false);
+          if (t.on) ended(t.report.key, name, false);
           t.on = false;
         }
   });
@@ -800,7 +837,7 @@
   const std::uint32_t count = 6 + random_(6);
   for (std::uint32_t n = 0; n < count; ++n) {
     const Time when = plan_.troubles_from + random_(span);
-    const std::uint32_t kind = random_(14);
+    const std::uint32_t kind = random_(16);
     at(when, [this, kind] {
       const auto node = random_(3);
       const int lead = leader();
@@ -853,6 +890,12 @@
           for (std::size_t i = 0; i < 3; ++i)
             if (!machine.empty()) cut(node_name(i), machine, span_ms, hold);
           break;
+        case 14:
+          cut_zone(random_(2) == 0 ? "za" : "zb", span_ms, hold);
+          break;
+        case 15:
+          freeze(target, span_ms);
+          break;
         case 9:
           if (!machine.empty()) hang_machine(machine, span_ms);
           break;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -49,6 +49,10 @@
   // Troubles.
   void kill(std::size_t node, Time for_ms);
   void cut(const std::string& a, const std::string& b, Time for_ms, bool hold);
+  /// The zone's controllers and machines lose everything outside of it.
+  void cut_zone(const std::string& zone, Time for_ms, bool hold);
+  /// The controller stands still; what reaches it meanwhile waits.
+  void freeze(std::size_t node, Time for_ms);
   void refuse_state(std::size_t node, Time for_ms);
   void state_outage(Time for_ms);
   void kill_machine(const std::string& name);
@@ -67,6 +71,8 @@
   [[nodiscard]] std::uint64_t malformed_answers() const { return malformed_; }
   /// Called when a worker has completed a task, before anybody hears of it.
   std::function<void(const TaskKey&, const std::string& machine)> on_completed;
+  /// Called when a task that had begun to run is on its machine no longer.
+  std::function<void(const TaskKey&, const std::string& machine)> on_ended;
   /// Every command a worker carries out.
   std::function<void(const std::string& machine, const Command&)> on_command;
 
@@ -76,7 +82,7 @@
     std::unique_ptr<Core> core;
     std::uint64_t life = 0;
     double drift = 1.0;
-    Time refused_until = 0;
+    Time refused_until = 0, frozen_until = 0;
     std::set<std::uint64_t> direct_calls;  // waiting for an answer, each with its socket
   };
   struct WorkTask {
@@ -114,6 +120,8 @@
   void at(Time t, std::function<void()> run);
   /// Carries a message between two hosts: delayed, lost, or held by a cut.
   void carry(const std::string& from, const std::string& to, std::function<void()> arrive);
+  [[nodiscard]] std::string zone_of(const std::string& host) const;
+  [[nodiscard]] std::pair<Time, bool> cut_between(const std::string& a, const std::string& b) const;
   [[nodiscard]] Time delay();
   void start_node(std::size_t i);
   void feed(std::size_t i, Input input);
@@ -125,6 +133,7 @@
   Report make_report(Worker& w);
   void obey(Worker& w, const Command& c);
   void lapse(Worker& w);
+  void ended(const TaskKey& key, const std::string& machine, bool completed);
   void take_answer(Worker& w, std::uint64_t flight, Time sent, std::uint64_t session, int status,
                    const std::string& body);
   void direct(std::size_t node, std::uint64_t call, const std::string& address,
@@ -153,7 +162,9 @@
   std::map<std::string, std::string> by_address_;
   std::vector<std::unique_ptr<User>> users_;
   std::unordered_map<std::string, const User*> by_job_;
+  // Until when, and whether what is sent meanwhile arrives afterwards.
   std::map<std::pair<std::string, std::string>, std::pair<Time, bool>> cuts_;
+  std::map<std::string, std::pair<Time, bool>> zone_cuts_;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, std::function<void(int, const std::string&)>> answers_;
   std::uint64_t malformed_ = 0, unanswered_ = 0, reports_ = 0;
