--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -344,7 +344,8 @@
   void send_rentals();
   void return_idle();
   [[nodiscard]] std::pair<Resources, Resources> ordinary_room() const;
-  void retire(const std::function<bool(const Machine&)>& spare);
+  void retire(Resources& size, const Resources& used);
+  [[nodiscard]] bool spare(const Resources& size, const Resources& used, const Machine& m) const;
   [[nodiscard]] const Machine* warm_room(const Placement& p, const Machine& from,
                                          const Promises& promised) const;
   void send_releases();
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -321,11 +321,6 @@
 void Core::return_idle() {
   const Time now = clock_.now;
   auto [size, used] = ordinary_room();
-  const double keep = 1 + kReturnHeadroom * options_.headroom_ratio;
-  const auto spare = [&](const Machine& m) {
-    return size.gpus - m.size.gpus >= used.gpus * keep &&
-           size.cpus - m.size.cpus >= used.cpus * keep;
-  };
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (m.releasing) continue;
@@ -346,12 +341,18 @@
         now - m.idle_since < ms(t->boot_s * options_.idle_ratio))
       continue;
     if (!m.spot) {
-      if (!spare(m)) continue;
+      if (!spare(size, used, m)) continue;
       size -= m.size;
     }
     release(m, "idle");
   }
-  retire(spare);
+  retire(size, used);
+}
+
+// True if without the machine more than enough is left.
+bool Core::spare(const Resources& size, const Resources& used, const Machine& m) const {
+  const double keep = 1 + kReturnHeadroom * options_.headroom_ratio;
+  return size.gpus - m.size.gpus >= used.gpus * keep && size.cpus - m.size.cpus >= used.cpus * keep;
 }
 
 // The size of the ordinary machines that take work, and what work that needs them uses; what may be
@@ -367,61 +368,65 @@
   return {size, used};
 }
 
-// When more is up than is needed, the machine whose replicas are fewest is emptied: replicas end
+// When more is up than is needed, the machines whose replicas are fewest are emptied: replicas end
 // here and there, and no machine would empty by itself. Each goes where its image lies already.
-void Core::retire(const std::function<bool(const Machine&)>& spare) {
+void Core::retire(Resources& size, const Resources& used) {
   const bool wanted =
       std::any_of(unmet_.begin(), unmet_.end(), [](auto& u) { return !u.want.spot; });
   std::size_t up = 0, retiring = 0;
+  // By how many tasks have to end or go.
+  std::vector<std::pair<std::size_t, Machine*>> candidates;
   for (auto& [name, m] : tables_.machines) {
     if (m->spot || !usable(*m)) continue;
     ++up;
     if (wanted) m->retiring = false;
     retiring += m->retiring ? 1 : 0;
-  }
-  if (wanted || rebuilding_ || retiring > up / kRetiringShare) return;
-  // The fewest moves that empty a machine, as long as they are for less than half of it.
-  Machine* best = nullptr;
-  std::size_t best_moves = 0;
-  std::vector<std::pair<Placement*, const Machine*>> best_plan;
-  Promises under_way;
-  for (const auto& [task, move] : moves_)
-    if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
-  for (auto& [name, ptr] : tables_.machines) {
-    Machine& m = *ptr;
-    if (m.spot || !open(m) || m.empty() || !spare(m)) continue;
+    if (wanted || m->retiring || m->empty()) continue;
     Resources moved;
-    std::size_t moves = 0;
+    std::size_t held = 0;
     bool possible = true;
-    for (const Placement& p : m.placements) {
+    for (const Placement& p : m->placements) {
       if (!p.held) continue;
       // An array's task is waited for.
-      ++moves;
+      ++held;
       if (p.job != nullptr && p.job->spec().kind == JobKind::Array) continue;
       moved += p.need;
       possible = possible && movable(p);
     }
-    if (!possible || moved.gpus > m.size.gpus / 2 || moved.cpus > m.size.cpus / 2) continue;
-    if (best != nullptr && moves >= best_moves) continue;
+    if (possible && moved.gpus <= m->size.gpus / 2 && moved.cpus <= m->size.cpus / 2)
+      candidates.emplace_back(held, m.get());
+  }
+  if (wanted || rebuilding_) return;
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const auto& a, const auto& b) { return a.first < b.first; });
+  Promises under_way;
+  for (const auto& [task, move] : moves_)
+    if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
+  // As many at a time as the fleet's size allows: one for each look at the fleet was too slow for
+  // hundreds, when demand fell.
+  for (const auto& [held, m] : candidates) {
+    if (retiring > up / kRetiringShare) return;
+    if (!open(*m) || !spare(size, used, *m)) continue;
     auto promised = under_way;
     std::vector<std::pair<Placement*, const Machine*>> plan;
-    for (Placement& p : m.placements)
-      if (p.held && p.job->spec().kind == JobKind::Service) {
-        const Machine* to = warm_room(p, m, promised);
+    bool possible = true;
+    for (Placement& p : m->placements)
+      if (p.held && p.job != nullptr && p.job->spec().kind == JobKind::Service) {
+        // What another machine's emptying has sent here stays.
+        const Machine* to = p.moving || under_way.contains(m) ? nullptr : warm_room(p, *m, promised);
         possible = to != nullptr;
         if (!possible) break;
         promised[to] += p.need;
         plan.emplace_back(&p, to);
       }
     if (!possible) continue;
-    best = &m;
-    best_moves = moves;
-    best_plan = std::move(plan);
+    under_way = std::move(promised);
+    m->retiring = true;
+    size -= m->size;
+    ++retiring;
+    log(Log::Level::Info, "event=retire machine=", m->name, " moves=", plan.size());
+    for (const auto& [p, to] : plan) move(*p, *m, *to);
   }
-  if (best == nullptr) return;
-  best->retiring = true;
-  log(Log::Level::Info, "event=retire machine=", best->name, " moves=", best_plan.size());
-  for (const auto& [p, to] : best_plan) move(*p, *best, *to);
 }
 
 void Core::send_releases() {
