--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -9,11 +9,11 @@
 constexpr std::size_t kMaxRelease = 100;
 /// A machine that takes this many times its type's boot time isn't waited for any more, and one
 /// that takes this many times is given up.
-constexpr double kLateBoot = 1.3, kDeadBoot = 4.5;
+constexpr double kLateBoot = 1.3, kDeadBoot = 3;
 /// How much of the room that running arrays will have left once a machine has booted is counted on.
 constexpr double kRelief = 0.5;
 /// Beyond so many times the headroom machines are returned; between the two nothing changes.
-constexpr double kReturnHeadroom = 1.5;
+constexpr double kReturnHeadroom = 1.2;
 /// One in so many machines may be on its way to be emptied.
 constexpr std::size_t kRetiringShare = 32;
 
