--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -413,7 +413,8 @@
     for (Placement& p : m->placements)
       if (p.held && p.job != nullptr && p.job->spec().kind == JobKind::Service) {
         // What another machine's emptying has sent here stays.
-        const Machine* to = p.moving || under_way.contains(m) ? nullptr : warm_room(p, *m, promised);
+        const Machine* to =
+            p.moving || under_way.contains(m) ? nullptr : warm_room(p, *m, promised);
         possible = to != nullptr;
         if (!possible) break;
         promised[to] += p.need;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -7,7 +7,7 @@
 constexpr Time kPassesPerReport = 40;
 /// And passes are so far apart that, for each report, no more jobs and machines than this are
 /// looked at: what a report costs doesn't grow with the jobs that wait.
-constexpr Time kLooksPerReport = 50;
+constexpr Time kLooksPerReport = 150;
 }  // namespace
 
 bool Core::usable(const Machine& m) const {
