--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -281,6 +281,8 @@
 void Core::abdicate() {
   revoke(lease_);
   stand_back_until_ = clock_.now + worker_lease();
+  // Another may lead from now on, and reckons from then with whom we keep alive.
+  lease_deadline_ = std::min(lease_deadline_, clock_.now);
   step_down("no worker is heard");
 }
 
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -116,6 +116,8 @@
         return send_away(origin, machine, i);
     if (!settings_.siblings.empty()) return send_away(origin, machine, node_before());
   }
+  if (clock_.now - alone_at_ > worker_lease())
+    log(Log::Level::Info, "event=keeps_alive for_ms=", keep_until_ - clock_.now);
   alone_at_ = clock_.now;
   answer(origin, 200, encode_report_answer(keep_epoch_, {}), 0, keep_until_);
 }
