--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -448,9 +448,10 @@
 // is reached, the fault is rather between us and the zone, and leases are waited for: when two
 // zones were apart, a rule by the share of silent machines alone returned healthy ones.
 void Core::look_for_dead() {
-  // What was up when the former leader ended, and hasn't been heard since, is silent too.
+  // What was up when the former leader ended, and hasn't been heard for as long, is silent too.
+  const bool awaited = rebuilding_ && clock_.now - led_since_ > silent_after();
   const auto silent = [&](const Machine& m) {
-    return m.reported ? m.silent : m.recorded && rebuilding_ && !m.lease_passed;
+    return m.reported ? m.silent : awaited && m.recorded && !m.lease_passed;
   };
   struct Zone {
     std::size_t up = 0, silent = 0;
