--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -82,7 +82,16 @@
 
 bool Core::healthy(Time now) const {
   // Short gaps, such as a take-over, aren't worth being taken off the balancer's list for.
-  return now - last_path_ < worker_lease() / 2;
+  if (now - last_path_ < worker_lease() / 2) return true;
+  // Where the others are no better off, as in an outage of the state service, being taken off the
+  // list only delays what comes after: users found no node for seconds after it was over.
+  bool heard = false;
+  for (const SiblingView& v : sibling_views_) {
+    if (!in_contact(v)) continue;
+    heard = true;
+    if (v.leading || v.hears_leader) return false;
+  }
+  return heard;
 }
 
 void Core::answer(const Origin& origin, int status, std::string body, int retry_after_s,
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -257,6 +257,26 @@
 }
 
 // Submissions in an outage of the state service are answered at once, and taken after it.
+// In an outage no node is better off than another, and all stay on the balancer's list: off it,
+// users found no node for seconds after the outage was over. A node that alone has lost everything
+// leaves.
+TEST(Incident, NodesStayHealthyInAnOutageNotWhenCutOff) {
+  const auto healthy = [](const World& world, std::size_t node) {
+    return world.core(node)->healthy(world.now() + 1'000'000);
+  };
+  World world(quiet(21));
+  world.run_until(30'000);
+  world.state_outage(20'000);
+  world.run_until(48'000);
+  for (std::size_t i = 0; i < 3; ++i) EXPECT_TRUE(healthy(world, i)) << i;
+  world.run_until(60'000);
+  world.cut("node-0", "state", 30'000, true);
+  for (const char* other : {"node-1", "node-2"}) world.cut("node-0", other, 30'000, true);
+  world.run_until(85'000);
+  EXPECT_FALSE(healthy(world, 0));
+  EXPECT_TRUE(healthy(world, 1));
+}
+
 TEST(Incident, SubmissionsInAnOutageAreAnsweredAtOnce) {
   World world(quiet(9));
   world.run_until(5'000);
