--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -256,7 +256,6 @@
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
 }
 
-// Submissions in an outage of the state service are answered at once, and taken after it.
 // In an outage no node is better off than another, and all stay on the balancer's list: off it,
 // users found no node for seconds after the outage was over. A node that alone has lost everything
 // leaves.
@@ -277,6 +276,7 @@
   EXPECT_TRUE(healthy(world, 1));
 }
 
+// Submissions in an outage of the state service are answered at once, and taken after it.
 TEST(Incident, SubmissionsInAnOutageAreAnsweredAtOnce) {
   World world(quiet(9));
   world.run_until(5'000);
