Read once more: one way to drop unsent starts, one to tell who reaches the leader

Two loops that took back what a machine hadn't been sent, and three tests for a sibling with a way to the leader, are one each. Images' reservations are counted for machines that a pass may place on, not for all at each pass. Checks in retire that its choice of candidates had settled are gone. No change of behaviour intended.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -87,9 +87,8 @@
   // list only delays what comes after: users found no node for seconds after it was over.
   bool heard = false;
   for (const SiblingView& v : sibling_views_) {
-    if (!in_contact(v)) continue;
-    heard = true;
-    if (v.leading || v.hears_leader) return false;
+    if (reaches_leader(v)) return false;
+    heard = heard || in_contact(v);
   }
   return heard;
 }
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -232,6 +232,7 @@
   /// Takes in a report; false if it is a late copy.
   bool take_report(const Report& report, bool direct);
   void drop(Machine& m, std::size_t index);
+  void drop_unsent(Machine& m);
   void shun(Machine& m, const char* why);
   void session_lost(Machine& m, const char* why);
   void take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen);
@@ -261,6 +262,7 @@
   [[nodiscard]] Time keep_span() const;
   [[nodiscard]] Time contact_span() const;
   [[nodiscard]] bool in_contact(const SiblingView& v) const;
+  [[nodiscard]] bool reaches_leader(const SiblingView& v) const;
   void may_keep(std::uint64_t epoch, Time until);
   [[nodiscard]] Time siblings_answered() const;
   [[nodiscard]] Time expiry(const Machine& m) const;
@@ -368,7 +370,7 @@
   void send_rentals();
   void return_idle();
   [[nodiscard]] std::pair<Resources, Resources> ordinary_room() const;
-  void retire(Resources& size, const Resources& used);
+  void retire(Resources size, const Resources& used);
   [[nodiscard]] bool spare(const Resources& size, const Resources& used, const Machine& m) const;
   [[nodiscard]] const Machine* warm_room(const Placement& p, const Machine& from,
                                          const Promises& promised) const;
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -303,12 +303,10 @@
   m.draining = true;
   m.drain_cause = why;
   log(Log::Level::Info, "event=drain machine=", m.name, " cause=\"", why, "\"");
-  for (std::size_t i = m.placements.size(); i-- > 0;)
-    if (m.placements[i].state == PlaceState::Reserved) drop(m, i);
+  drop_unsent(m);
   if (m.drain_cause == "faulty")
     for (Placement& p : m.placements)
       if (p.held && p.job != nullptr) stop_task(p, grace_for(*p.job));
-  placement_dirty_ = true;
 }
 
 void Core::release(Machine& m, const char* why) {
@@ -370,7 +368,7 @@
 
 // When more is up than is needed, the machines whose replicas are fewest are emptied: replicas end
 // here and there, and no machine would empty by itself. Each goes where its image lies already.
-void Core::retire(Resources& size, const Resources& used) {
+void Core::retire(Resources size, const Resources& used) {
   const bool wanted =
       std::any_of(unmet_.begin(), unmet_.end(), [](auto& u) { return !u.want.spot; });
   std::size_t up = 0, retiring = 0;
@@ -406,15 +404,14 @@
   // hundreds, when demand fell.
   for (const auto& [held, m] : candidates) {
     if (retiring > up / kRetiringShare) return;
-    if (!open(*m) || !spare(size, used, *m)) continue;
+    if (!spare(size, used, *m)) continue;
     auto promised = under_way;
     std::vector<std::pair<Placement*, const Machine*>> plan;
     bool possible = true;
     for (Placement& p : m->placements)
-      if (p.held && p.job != nullptr && p.job->spec().kind == JobKind::Service) {
+      if (p.held && p.job->spec().kind == JobKind::Service) {
         // What another machine's emptying has sent here stays.
-        const Machine* to =
-            p.moving || under_way.contains(m) ? nullptr : warm_room(p, *m, promised);
+        const Machine* to = under_way.contains(m) ? nullptr : warm_room(p, *m, promised);
         possible = to != nullptr;
         if (!possible) break;
         promised[to] += p.need;
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -25,6 +25,10 @@
   return clock_.now - v.heard < worker_lease() / 8;
 }
 
+bool Core::reaches_leader(const SiblingView& v) const {
+  return in_contact(v) && (v.leading || v.hears_leader);
+}
+
 void Core::may_keep(std::uint64_t epoch, Time until) {
   if (epoch < keep_epoch_) return;
   if (epoch > keep_epoch_) keep_until_ = 0;
@@ -80,8 +84,7 @@
   for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
     const SiblingView& v = sibling_views_[i];
     // One that hears no worker may be cut off from them.
-    if (settings_.siblings[i].zone == zone && in_contact(v) && v.hears_workers &&
-        (v.leading || v.hears_leader))
+    if (settings_.siblings[i].zone == zone && v.hears_workers && reaches_leader(v))
       near.push_back(i);
   }
   if (near.empty() || was_sent_away(in.report.machine, kSteerLeases * worker_lease())) return false;
@@ -112,8 +115,7 @@
     return answer(origin, 503, encode_error("no leader"));
   if (may_send_away && !was_sent_away(machine, worker_lease())) {
     for (std::size_t i = 0; i < sibling_views_.size(); ++i)
-      if (sibling_views_[i].hears_leader && in_contact(sibling_views_[i]))
-        return send_away(origin, machine, i);
+      if (reaches_leader(sibling_views_[i])) return send_away(origin, machine, i);
     if (!settings_.siblings.empty()) return send_away(origin, machine, node_before());
   }
   if (clock_.now - alone_at_ > worker_lease())
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -109,13 +109,6 @@
   unmet_.clear();
   unmet_of_team_.clear();
   forget_in_vain();
-  for (auto& [name, m] : tables_.machines) {
-    m->reserved.fill(0);
-    for (const CachedImage& c : m->images)
-      if (const auto i = tables_.image_priority.find(c.name); i != tables_.image_priority.end())
-        for (auto p = static_cast<std::size_t>(i->second) + 1; p < kPriorities; ++p)
-          ++m->reserved[p];
-  }
   Queues all = note_guarantees();
   // The least that any of them needs: a machine with less is of no use to this pass.
   std::optional<Resources> least_need;
@@ -130,7 +123,13 @@
   if (least_need)
     for (auto& [name, m] : tables_.machines) {
       ++examined_;
-      if (open(*m) && least_need->fits_in(room_beside(claims_, *m))) roomy_.push_back(m.get());
+      if (!open(*m) || !least_need->fits_in(room_beside(claims_, *m))) continue;
+      roomy_.push_back(m.get());
+      m->reserved.fill(0);
+      for (const CachedImage& c : m->images)
+        if (const auto i = tables_.image_priority.find(c.name); i != tables_.image_priority.end())
+          for (auto p = static_cast<std::size_t>(i->second) + 1; p < kPriorities; ++p)
+            ++m->reserved[p];
     }
   for (std::vector<Job*>& waiting : all) {
     queue_order(waiting);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -154,6 +154,13 @@
   if (job != nullptr) settle_job(*job);
 }
 
+// What hasn't been sent there yet can go elsewhere at once.
+void Core::drop_unsent(Machine& m) {
+  for (std::size_t i = m.placements.size(); i-- > 0;)
+    if (m.placements[i].state == PlaceState::Reserved) drop(m, i);
+  placement_dirty_ = true;
+}
+
 void Core::shun(Machine& m, const char* why) {
   m.shunned_until = clock_.now + 2 * worker_lease();
   log(Log::Level::Info, "event=shun machine=", m.name, " cause=\"", why, "\"");
@@ -423,10 +430,7 @@
     if (!m.silent && now - m.heard > silent_after()) {
       m.silent = true;
       m.silent_since = now;
-      // What hasn't been sent there yet can go elsewhere at once.
-      for (std::size_t i = m.placements.size(); i-- > 0;)
-        if (m.placements[i].state == PlaceState::Reserved) drop(m, i);
-      placement_dirty_ = true;
+      drop_unsent(m);
       log(Log::Level::Info, "event=machine_silent machine=", m.name);
     }
     if (!m.silent) continue;
