--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -83,16 +83,20 @@
     if (late(a.valid_until))
       respond(a.origin, 503, encode_error("leadership may have ended"), 1);
     else
-      respond(a.origin, a.status, a.body, a.retry_after_s);
+      respond(a.origin, a.status, a.body, a.retry_after_s, a.valid_until);
   }
 
-  void respond(const Origin& origin, int status, const std::string& body, int retry_after_s) {
+  void respond(const Origin& origin, int status, const std::string& body, int retry_after_s,
+               Time valid_until = kNever) {
     if (origin.kind == Origin::Kind::Local) {
       server_.respond(origin.link, status, body, retry_after_s);
     } else if (origin.kind == Origin::Kind::Peer) {
       PeerMessage m;
       m.kind = PeerMessage::Kind::Answer;
-      m.answer = {origin.call, status, retry_after_s, body};
+      m.answer = {origin.call, status, retry_after_s, {}, body};
+      if (valid_until != kNever)
+        m.answer.valid_ms = static_cast<std::uint32_t>(
+            std::clamp<Time>(valid_until - EventLoop::now_ms(), 0, UINT32_MAX - 1));
       peers_.send(origin.link, encode_peer(m));
     }
   }
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -189,6 +189,9 @@
   void lead_query(const UserRequest& request);
   void lead_cancel(const UserRequest& request);
   void cancel_over(Job& job);
+  [[nodiscard]] Time cancel_wait() const;
+  [[nodiscard]] bool stops_at_once(const Job& job) const;
+  void refuse_cancel_waits(const std::string& id);
   void forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
                std::size_t sibling, std::uint64_t token = 0);
   void peer_answer(std::size_t sibling, const PeerAnswer& answer);
@@ -207,7 +210,10 @@
     int status = 200;
     std::string id;
   };
-  void after_commit(Waiter waiter) { waiting_next_.push_back(std::move(waiter)); }
+  void answer_unknown(const Origin& origin);
+  [[nodiscard]] bool too_many_waiting() const;
+  void after_commit(const Job& job, const Origin& origin, int status);
+  void answer_committed(const Origin& origin, int status, const Job& job);
   void maybe_commit();
   void send_round();
   void round_done(const StateReply& reply);
@@ -424,9 +430,11 @@
     UserOp op = UserOp::Query;
     std::string id;  // of the job, or of the machine that reports
     std::size_t sibling = 0;
-    Time until = 0;
+    Time sent = 0, until = 0;
     std::uint64_t token = 0;  // that a report showed
   };
+  /// The leader hasn't answered in time, or not so that it can be said any more.
+  void give_up(const Forwarded& f);
   std::map<std::uint64_t, Forwarded> forwarded_;
   std::uint64_t next_forward_ = 1;
   Image image_, loading_;
@@ -458,6 +466,8 @@
     std::set<std::string> ids;
     std::size_t reserved = 0;
   };
+  /// Of a shard that can't be read: it takes no job, and isn't written.
+  static constexpr std::size_t kClosedShard = SIZE_MAX / 2;
   std::vector<Shard> shards_;
   std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> shard_of_;  // and reserve
   struct FinishedTask {
@@ -490,6 +500,9 @@
   bool rebuilding_ = false;
   Time fence_at_ = 0;  // by then whatever a former leader kept alive has ended
   std::uint64_t next_attempt_ = 1;
+  /// Values of the checkpoint could not be read: jobs or machines that are not in the tables may
+  /// exist all the same.
+  bool unknown_jobs_ = false, unknown_machines_ = false;
 
   // machines
   struct OpenRental {
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -9,13 +9,10 @@
 constexpr Time kLookupMs = 1'900;
 /// A submission is given 5 s by its user, and a commit may take a retry.
 constexpr Time kForwardCommitMs = 3'000;
-/// So long a cancellation waits for its tasks' machines before its user is told to ask again.
-constexpr Time kCancelMs = 1'000;
 constexpr Time kRefreshEveryMs = 200;
 /// What the state service gives in a page of keys (protocol, "Controller nodes -> state service").
 constexpr double kPageKb = 512;
 constexpr std::size_t kMaxForwarded = 2'000;
-constexpr std::size_t kMaxWaiting = 2'000;
 }  // namespace
 
 void Core::user_request(const UserRequest& r) {
@@ -57,26 +54,23 @@
   if (id) {
     if (const auto f = tables_.finished.find(*id); f != tables_.finished.end())
       return answer_job(r.origin, 200, view(*id, f->second));
-    if (const Job* job = tables_.job(*id)) {
-      if (job->committed) return answer_job(r.origin, 200, view(*job));
-      return after_commit({r.origin, 200, *id});
-    }
+    if (const Job* job = tables_.job(*id)) return answer_committed(r.origin, 200, *job);
   }
+  if (id && unknown_jobs_) return answer_unknown(r.origin);
   std::string error;
   auto spec = decode_submission(r.body, error);
   if (!spec) return answer(r.origin, 400, encode_error("invalid: " + error));
   if (tables_.types.empty()) return refuse(r.origin, "machine types not known yet");
   if (never_fits(*spec, error)) return answer(r.origin, 422, encode_error(error));
   if (round_.retries > 0) return refuse(r.origin, "the state service does not answer");
-  if (waiting_next_.size() + round_.waiters.size() > kMaxWaiting)
-    return refuse(r.origin, "too many submissions at once");
+  if (too_many_waiting()) return refuse(r.origin, "too many submissions at once");
   JobRecord record;
   record.spec = std::move(*spec);
   record.submitted_wall_ms = clock_.wall_ms;
   Job& job = tables_.add_job(std::move(record));
   job.accepted = clock_.now;
   touch(job);
-  after_commit({r.origin, 201, job.spec().id});
+  after_commit(job, r.origin, 201);
   log(Log::Level::Info, "event=submitted job=", job.spec().id, " class=", job.spec().job_class,
       " team=", job.spec().team, " tasks=", job.spec().tasks);
 }
@@ -84,27 +78,56 @@
 void Core::lead_query(const UserRequest& r) {
   if (const auto f = tables_.finished.find(r.id); f != tables_.finished.end())
     return answer_job(r.origin, 200, view(r.id, f->second));
-  if (const Job* job = tables_.job(r.id)) {
-    if (job->committed) return answer_job(r.origin, 200, view(*job));
-    return after_commit({r.origin, 200, r.id});
-  }
-  answer(r.origin, 404, encode_error("no such job"), 0, command_until());
+  if (const Job* job = tables_.job(r.id)) return answer_committed(r.origin, 200, *job);
+  answer_unknown(r.origin);
+}
+
+void Core::answer_unknown(const Origin& origin) {
+  if (unknown_jobs_) return refuse(origin, "parts of the checkpoint can't be read");
+  answer(origin, 404, encode_error("no such job"), 0, command_until());
 }
 
 void Core::lead_cancel(const UserRequest& r) {
   if (const auto f = tables_.finished.find(r.id); f != tables_.finished.end())
     return answer_job(r.origin, 200, view(r.id, f->second));
   Job* job = tables_.job(r.id);
-  if (job == nullptr) return answer(r.origin, 404, encode_error("no such job"), 0, command_until());
-  if (job->record.phase != Phase::Active) return after_commit({r.origin, 200, r.id});
+  if (job == nullptr) return answer_unknown(r.origin);
+  if (job->record.phase != Phase::Active) {
+    if (job->record.phase == job->committed_phase) return answer_committed(r.origin, 200, *job);
+    return after_commit(*job, r.origin, 200);
+  }
   if (!job->cancelling) {
     job->cancelling = true;
     log(Log::Level::Info, "event=cancelled job=", r.id);
     stop_job(*job);
     placement_dirty_ = true;
   }
-  cancel_waits_[r.id].push_back({r.origin, clock_.now + kCancelMs});
+  cancel_waits_[r.id].push_back({r.origin, clock_.now + cancel_wait()});
   settle_job(*job);
+  if (job->record.final) return;
+  // A later leader goes on stopping it, and its user need not ask again.
+  if (!job->record.cancel_asked) {
+    job->record.cancel_asked = true;
+    touch(*job);
+  }
+  // Where its end can't come at once, its user is told so at once.
+  if (!stops_at_once(*job)) refuse_cancel_waits(r.id);
+}
+
+// As long as a direct stop and its answer usually take; no answer is held back for longer.
+Time Core::cancel_wait() const { return std::clamp<Time>(worker_lease() / 50, 100, 500); }
+
+bool Core::stops_at_once(const Job& job) const {
+  if (job.unknown > 0 || round_.retries > 0) return false;
+  return std::all_of(job.tasks.begin(), job.tasks.end(), [](const Task& t) {
+    return t.machine == nullptr || (t.machine->reported && !t.machine->silent);
+  });
+}
+
+void Core::refuse_cancel_waits(const std::string& id) {
+  const auto waits = cancel_waits_.extract(id);
+  if (!waits) return;
+  for (const CancelWait& w : waits.mapped()) refuse(w.origin, "its tasks are being stopped");
 }
 
 // None of its tasks is on a machine any more: now it may be called cancelled. To say so sooner
@@ -114,15 +137,16 @@
   job.record.phase = Phase::Cancelled;
   const auto waits = cancel_waits_.extract(job.spec().id);
   if (!waits) return;
-  for (const CancelWait& w : waits.mapped()) after_commit({w.origin, 200, job.spec().id});
+  for (const CancelWait& w : waits.mapped()) after_commit(job, w.origin, 200);
 }
 
 void Core::forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
                    std::size_t sibling, std::uint64_t token) {
   const std::uint64_t call = next_forward_++;
   const bool commits = op == UserOp::Submit || op == UserOp::Cancel;
-  forwarded_[call] = {
-      origin, op, id, sibling, clock_.now + (commits ? kForwardCommitMs : kForwardMs), token};
+  const Time now = clock_.now;
+  forwarded_[call] = {origin, op, id, sibling, now, now + (commits ? kForwardCommitMs : kForwardMs),
+                      token};
   PeerMessage m;
   m.kind = PeerMessage::Kind::Request;
   m.request = {call, op, op == UserOp::Report ? std::string() : id, std::move(body)};
@@ -133,8 +157,22 @@
   const auto node = forwarded_.extract(a.call);
   if (!node) return;
   const Forwarded& f = node.mapped();
-  if (a.status == 503 && f.op == UserOp::Query) return look_up(f.origin, f.id);
-  answer(f.origin, a.status, a.body, a.retry_after_s);
+  // The leader said for how long it may be said. It did so after the request had left us, so from
+  // then on is safe, however long the answer was on its way or we stood still.
+  const Time valid_until = a.valid_ms ? f.sent + *a.valid_ms - *a.valid_ms / 500 : kNever;
+  const bool late = clock_.now >= std::min(f.until, valid_until);
+  if (late || (a.status == 503 && f.op == UserOp::Query)) return give_up(f);
+  answer(f.origin, a.status, a.body, a.retry_after_s, valid_until);
+}
+
+void Core::give_up(const Forwarded& f) {
+  if (f.op == UserOp::Query)
+    look_up(f.origin, f.id);
+  else if (f.op == UserOp::Report)
+    // Sent elsewhere now, a worker of a zone that has just been cut off would be lost.
+    keep_alive(f.origin, f.id, f.token, false);
+  else
+    refuse(f.origin, "the leader does not answer");
 }
 
 void Core::intake_tick() {
@@ -142,16 +180,7 @@
   std::vector<std::uint64_t> over;
   for (const auto& [call, f] : forwarded_)
     if (now >= f.until) over.push_back(call);
-  for (const std::uint64_t call : over) {
-    const Forwarded f = std::move(forwarded_.extract(call).mapped());
-    if (f.op == UserOp::Query)
-      look_up(f.origin, f.id);
-    else if (f.op == UserOp::Report)
-      // Sent elsewhere now, a worker of a zone that has just been cut off would be lost.
-      keep_alive(f.origin, f.id, f.token, false);
-    else
-      refuse(f.origin, "the leader does not answer");
-  }
+  for (const std::uint64_t call : over) give_up(forwarded_.extract(call).mapped());
   for (auto it = cancel_waits_.begin(); it != cancel_waits_.end();) {
     std::erase_if(it->second, [&](const CancelWait& w) {
       if (now < w.until) return false;
@@ -251,6 +280,10 @@
       continue;
     }
     const auto it = image_.jobs.find(l.id);
+    if (it == image_.jobs.end() && !image_.unreadable.empty()) {
+      refuse(l.origin, "parts of the checkpoint can't be read");
+      continue;
+    }
     if (it == image_.jobs.end()) {
       answer(l.origin, 404, encode_error("no such job"));
       continue;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -11,8 +11,10 @@
 }  // namespace
 
 bool Core::usable(const Machine& m) const {
+  // A start goes with the answer to a machine's own report. One that answers inquiries, but reaches
+  // no controller itself, once drew the work that waited again and again.
   return m.reported && m.sized && !m.draining && !m.releasing && !m.silent &&
-         clock_.now >= m.shunned_until;
+         clock_.now >= m.shunned_until && clock_.now - m.came <= silent_after();
 }
 
 Resources Core::room_beside(const Promises& promised, const Machine& m) {
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -14,8 +14,20 @@
   next_attempt_ = 1;
   next_rental_ = 1;
   Image image = std::exchange(loading_, Image{});
-  if (image.unreadable > 0)
-    log(Log::Level::Error, "event=checkpoint_unreadable values=", image.unreadable);
+  // What an unreadable value held is unknown, and never taken for missing: jobs that may be in it
+  // get 503, and it is not written over.
+  unknown_jobs_ = false;
+  unknown_machines_ = false;
+  for (const std::string& key : image.unreadable) {
+    log(Log::Level::Error, "event=checkpoint_unreadable key=", key);
+    unknown_machines_ = unknown_machines_ || key.starts_with(kMachinesPrefix);
+    unknown_jobs_ = unknown_jobs_ || key.starts_with(kShardPrefix);
+  }
+  if (image.unreadable.contains(kHeadKey) || image.unreadable.contains(kEpochKey)) {
+    revoke(lease_);
+    stand_back_until_ = now + worker_lease();
+    return step_down("the checkpoint's head can't be read");
+  }
 
   tables_.clear();
   head_seq_ = image.head.seq;
@@ -38,8 +50,15 @@
   });
   shards_.clear();
   shard_of_.clear();
+  for (const std::string& key : image.unreadable)
+    if (const auto shard = shard_number(key)) {
+      if (shards_.size() <= *shard) shards_.resize(*shard + 1);
+      shards_[*shard].reserved = kClosedShard;
+    }
   for (const auto& [id, shard] : image.shard_of) {
     if (shards_.size() <= shard) shards_.resize(shard + 1);
+    // Its readable jobs move to another shard once they change; the later record counts.
+    if (shards_[shard].reserved == kClosedShard) continue;
     const JobRecord& r = image.jobs.at(id);
     const std::size_t reserve = record_reserve(r.final, encode_record(r).size());
     shards_[shard].ids.insert(id);
@@ -50,11 +69,13 @@
   for (const std::string& id : image.in_head) tail_[id] = encode_record(image.jobs.at(id));
 
   for (JobRecord* record : records) {
-    const std::uint64_t seq = record->seq;
+    std::string stored = encode_record(*record);
     Job& job = tables_.add_job(std::move(*record));
-    job.record.seq = seq;
+    job.stored = std::move(stored);
     job.committed = true;
     job.committed_phase = job.record.phase;
+    // Asked of a former leader: its user need not ask again, and nothing of it is started.
+    job.cancelling = job.record.phase == Phase::Active && job.record.cancel_asked;
     job.started = job.record.started;
     // Where its time since submission can be told, it is; the time of day may be off a little.
     job.accepted = now - std::max<Time>(0, clock_.wall_ms - job.record.submitted_wall_ms);
@@ -114,6 +135,8 @@
     for (Machine* m : missing)
       if (m->zone.empty() && m->probe_failures >= 2) release(*m, "silent since take-over");
   if (!missing.empty()) return;
+  // Machines that an unreadable value named can't be asked; but their leases run out.
+  if (unknown_machines_ && now < fence_at_) return;
   rebuilding_ = false;
   for (auto& [id, job] : tables_.jobs) {
     tables_.unknown_to_queued(*job);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -74,6 +74,7 @@
   Machine& m = tables_.add_machine(r.machine, now);
   if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return false;
   if (!m.reported) {
+    m.came = now;
     m.zone = r.zone;
     m.type = r.type;
     m.spot = r.spot;
@@ -201,7 +202,7 @@
         if (fits) {
           extra.need = job->spec().need;
           extra.team = job->team;
-          extra.team->used += extra.need;
+          if (extra.team != nullptr) extra.team->used += extra.need;
           m.used += extra.need;
         }
         log(Log::Level::Info, "event=stray_task machine=", m.name, " task=", t.key.job, "/",
@@ -215,7 +216,7 @@
     }
     // It was there before we knew of it: that its start was carried out needs no proof.
     p->state = PlaceState::Sent;
-    if (fits && on_machine && !job->active()) p->stop = true;
+    if (fits && on_machine && !job->active()) stop_task(*p, 0);
   }
   if (p->state == PlaceState::Exited) return;
   const PlaceState before = p->state;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -9,6 +9,7 @@
 /// The head keeps the latest changes while they are few; then they move to their shards.
 constexpr double kHeadFill = 0.6;
 constexpr std::size_t kTxnBytes = 64 * 1024;
+constexpr std::size_t kMaxWaiting = 2'000;
 }  // namespace
 
 bool Core::round_needed() const {
@@ -136,7 +137,7 @@
   }
 
   // What doesn't fit into the head moves to its shard, together with what lay there before.
-  for (auto& [id, job] : changed) r.tail[id] = record_text(*job, r.seq);
+  for (auto& [id, job] : changed) r.tail[id] = job->round_text = record_text(*job, r.seq);
   for (const auto& [id, text] : r.tail) tail_bytes += text.size() + 1;
   const bool flush = tail_bytes > head_limit;
   if (flush) {
@@ -154,9 +155,13 @@
         if (const auto t = r.tail.find(id); t != r.tail.end()) {
           text = t->second;
         } else if (const Job* job = tables_.job(id)) {
-          // Unchanged, or changed and waiting for a later round: then its last committed sequence
-          // stands, and the record written later counts.
-          text = encode_record(job->record);
+          // As the checkpoint has it. Encoded from memory, a change that waits for a later round
+          // would be read by others before its own round, and told to users.
+          text = job->stored;
+          if (text.empty()) {
+            reserved += shard_of_[id].second;
+            continue;
+          }
         } else if (const auto f = tables_.finished.find(id); f != tables_.finished.end()) {
           JobRecord record;
           record.final = true;
@@ -212,6 +217,8 @@
   for (Job* job : left) postponed.insert(job->spec().id);
   for (auto& [id, job] : changed) {
     job->dirty = false;
+    job->in_round = true;
+    job->round_phase = job->record.phase;
     r.jobs.push_back({id, job->record.phase, job->record.final, job->record.started});
   }
   dirty_jobs_ = std::move(left);
@@ -317,6 +324,8 @@
     if (job == nullptr) continue;
     if (!job->committed) placement_dirty_ = true;
     job->committed = true;
+    job->in_round = false;
+    job->stored = std::move(job->round_text);
     job->committed_phase = phase;
     job->started = started;
     if (final) over.push_back(job);
@@ -332,6 +341,25 @@
   for (Job* job : over) finish_job(*job);
 }
 
+bool Core::too_many_waiting() const {
+  return waiting_next_.size() + round_.waiters.size() > kMaxWaiting;
+}
+
+// To be answered once what is known of the job is in the checkpoint: with the round in flight, if
+// that has it.
+void Core::after_commit(const Job& job, const Origin& origin, int status) {
+  if (round_.retries > 0) return refuse(origin, "the state service does not answer");
+  if (too_many_waiting()) return refuse(origin, "too many requests at once");
+  (job.in_round ? round_.waiters : waiting_next_).push_back({origin, status, job.spec().id});
+}
+
+// While a round is in flight, or its answer was lost, another node may have read what it wrote and
+// told a user so. What it changes is answered once its fate is known, and not in the old form.
+void Core::answer_committed(const Origin& origin, int status, const Job& job) {
+  if (!job.committed || job.in_doubt()) return after_commit(job, origin, status);
+  answer_job(origin, status, view(job));
+}
+
 // Marks a job that is over for its last record, once none of its tasks can be on a machine.
 void Core::settle_job(Job& job) {
   if (job.active() || job.record.final || job.placed > 0 || job.unknown > 0) return;
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -12,7 +12,7 @@
               "peer frames are little-endian and copied as they lie in memory");
 
 constexpr std::uint32_t kMagic = 0x4c525331;  // "1SRL"
-constexpr std::uint8_t kVersion = 3;
+constexpr std::uint8_t kVersion = 4;
 constexpr std::size_t kMaxText = 256;
 /// A request's body and its id, with room for the fixed part.
 constexpr std::size_t kMaxPayload = kMaxBody + 1024;
@@ -42,13 +42,16 @@
 struct AnswerBody {
   std::uint64_t call;
   std::uint16_t status, retry_after_s;
-  std::uint32_t body_length;
+  std::uint32_t valid_ms, body_length;
 };
 #pragma pack(pop)
 static_assert(sizeof(FrameHeader) == 12);
 static_assert(sizeof(BeatBody) == 52);
 static_assert(sizeof(RequestBody) == 15);
-static_assert(sizeof(AnswerBody) == 16);
+static_assert(sizeof(AnswerBody) == 20);
+
+/// An answer that may be passed on for ever.
+constexpr std::uint32_t kForEver = UINT32_MAX;
 
 constexpr std::uint8_t kLeading = 1, kHearsLeader = 2, kHolding = 4, kHearsWorkers = 8,
                        kWasAlone = 16;
@@ -109,7 +112,8 @@
     case PeerMessage::Kind::Answer: {
       AnswerBody b;
       if (!take(payload, b) || payload.size() != b.body_length) return false;
-      m.answer = {b.call, b.status, b.retry_after_s, std::string(payload)};
+      m.answer = {b.call, b.status, b.retry_after_s, {}, std::string(payload)};
+      if (b.valid_ms != kForEver) m.answer.valid_ms = b.valid_ms;
       return true;
     }
   }
@@ -142,6 +146,7 @@
       return frame(m.kind,
                    AnswerBody{m.answer.call, static_cast<std::uint16_t>(m.answer.status),
                               static_cast<std::uint16_t>(m.answer.retry_after_s),
+                              m.answer.valid_ms.value_or(kForEver),
                               static_cast<std::uint32_t>(m.answer.body.size())},
                    m.answer.body);
   }
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -36,6 +36,8 @@
 struct PeerAnswer {
   std::uint64_t call = 0;
   int status = 0, retry_after_s = 0;
+  /// From its sending on, so long it may be passed on; empty: for ever.
+  std::optional<std::uint32_t> valid_ms;
   std::string body;
 };
 
--- a/src/storage/checkpoint.cpp
+++ b/src/storage/checkpoint.cpp
@@ -57,6 +57,7 @@
   s.one_zone = (flags & 1) != 0;
   s.spread = (flags & 2) != 0;
   s.spot = (flags & 4) != 0;
+  r.cancel_asked = (flags & 8) != 0;
   s.estimate_s = number(16);
   s.checkpoint_s = number(17);
   s.save_s = number(18);
@@ -79,11 +80,14 @@
 
 }  // namespace
 
-std::string shard_key(std::size_t shard) { return numbered("sr/s/", shard); }
+std::string shard_key(std::size_t shard) { return numbered(kShardPrefix, shard); }
+std::optional<std::size_t> shard_number(std::string_view key) {
+  return number_after(key, kShardPrefix);
+}
 std::string bitmap_key(const std::string& job, std::size_t piece) {
   return numbered(("sr/b/" + job + "/").c_str(), piece);
 }
-std::string machines_key(std::size_t shard) { return numbered("sr/m/", shard); }
+std::string machines_key(std::size_t shard) { return numbered(kMachinesPrefix, shard); }
 
 std::size_t machine_shard(std::string_view name) {
   const auto last = name.find_last_not_of("0123456789");
@@ -145,7 +149,8 @@
       w.EndArray();
     }
     json::put(w, s.zone);
-    w.Uint((s.one_zone ? 1U : 0U) | (s.spread ? 2U : 0U) | (s.spot ? 4U : 0U));
+    w.Uint((s.one_zone ? 1U : 0U) | (s.spread ? 2U : 0U) | (s.spot ? 4U : 0U) |
+           (r.cancel_asked ? 8U : 0U));
     w.Double(s.estimate_s);
     w.Double(s.checkpoint_s);
     w.Double(s.save_s);
@@ -235,6 +240,7 @@
     leader = item.deleted ? std::nullopt : decode_leader(item.value);
     return;
   }
+  unreadable.erase(key);
   if (key.starts_with("sr/b/")) {
     const auto slash = key.rfind('/');
     const std::string job = key.substr(5, slash - 5);
@@ -249,42 +255,48 @@
     if (json::parse_object(item.value, doc) && json::get(doc, "h", digits))
       pieces[{job, *piece}] = digits;
     else
-      ++unreadable;
+      unreadable.insert(key);
     return;
   }
   if (item.deleted) {
-    if (const auto shard = number_after(key, "sr/m/")) machines.erase(*shard);
+    if (const auto shard = number_after(key, kMachinesPrefix)) machines.erase(*shard);
     return;
   }
   json::Document doc;
   if (!json::parse_object(item.value, doc)) {
-    ++unreadable;
+    unreadable.insert(key);
     return;
   }
   if (key == kEpochKey) {
-    json::get(doc, "epoch", epoch);
-    epoch_version = item.version;
+    if (json::get(doc, "epoch", epoch))
+      epoch_version = item.version;
+    else
+      unreadable.insert(key);
     return;
   }
-  if (const auto shard = number_after(key, "sr/m/")) {
+  if (const auto shard = number_after(key, kMachinesPrefix)) {
     auto& list = machines[*shard];
     list.clear();
-    if (const json::Value* m = json::member(doc, "m"); m != nullptr && m->IsArray())
-      for (const auto& v : m->GetArray())
-        if (v.IsArray() && v.Size() >= 2) {
-          MachineRecord r{as_text(v[0]), as_text(v[1]), {}};
-          for (rapidjson::SizeType i = 2; i + 1 < v.Size(); i += 2)
-            if (v[i + 1].IsNumber()) r.images.push_back({as_text(v[i]), v[i + 1].GetDouble()});
-          list.push_back(std::move(r));
-        }
+    const json::Value* m = json::member(doc, "m");
+    if (m == nullptr || !m->IsArray()) {
+      unreadable.insert(key);
+      return;
+    }
+    for (const auto& v : m->GetArray()) {
+      if (!v.IsArray() || v.Size() < 2 || !v[0].IsString()) {
+        unreadable.insert(key);
+        continue;
+      }
+      MachineRecord r{as_text(v[0]), as_text(v[1]), {}};
+      for (rapidjson::SizeType i = 2; i + 1 < v.Size(); i += 2)
+        if (v[i + 1].IsNumber()) r.images.push_back({as_text(v[i]), v[i + 1].GetDouble()});
+      list.push_back(std::move(r));
+    }
     return;
   }
-  const bool is_head = key == kHeadKey;
-  const auto shard = number_after(key, "sr/s/");
-  if (!is_head && !shard) return;
-  if (is_head) {
-    json::get(doc, "q", head.seq);
-    json::get(doc, "e", head.epoch);
+  const auto shard = shard_number(key);
+  if (key == kHeadKey) {
+    if (!json::get(doc, "q", head.seq) || !json::get(doc, "e", head.epoch)) unreadable.insert(key);
     head_version = item.version;
     head.rentals.clear();
     in_head.clear();
@@ -293,20 +305,30 @@
         if (v.IsArray() && v.Size() == 5 && v[3].IsBool() && v[4].IsUint())
           head.rentals.push_back(
               {as_text(v[0]), as_text(v[1]), as_text(v[2]), v[3].GetBool(), v[4].GetUint()});
+    apply_jobs(doc, true, 0, key);
+  } else if (shard) {
+    apply_jobs(doc, false, *shard, key);
   }
+}
+
+void Image::apply_jobs(const json::Document& doc, bool is_head, std::size_t shard,
+                       const std::string& key) {
   const json::Value* list = json::member(doc, "t");
-  if (list == nullptr || !list->IsArray()) return;
+  if (list == nullptr || !list->IsArray()) {
+    unreadable.insert(key);
+    return;
+  }
   for (const auto& v : list->GetArray()) {
     JobRecord record;
     if (!decode_record(v, record)) {
-      ++unreadable;
+      unreadable.insert(key);
       continue;
     }
     const std::string id = record.spec.id;
     if (is_head)
       in_head.push_back(id);
     else
-      shard_of[id] = *shard;
+      shard_of[id] = shard;
     // A job can be in its shard and, changed since, in the head: the later change counts.
     const auto it = jobs.find(id);
     if (it == jobs.end())
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -11,11 +11,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "protocol/json.hpp"
 #include "protocol/messages.hpp"
 
 namespace sailreel {
@@ -25,7 +27,12 @@
 inline constexpr const char* kEpochKey = "sr/epoch";
 inline constexpr const char* kHeadKey = "sr/head";
 
+inline constexpr const char* kShardPrefix = "sr/s/";
+inline constexpr const char* kMachinesPrefix = "sr/m/";
+
 std::string shard_key(std::size_t shard);
+/// The shard that the key is of, if it is one's.
+std::optional<std::size_t> shard_number(std::string_view key);
 std::string bitmap_key(const std::string& job, std::size_t piece);
 std::string machines_key(std::size_t shard);
 /// Machines are numbered by the cloud in order of creation, so neighbours share a shard.
@@ -69,6 +76,8 @@
   Phase phase = Phase::Active;
   std::uint64_t seq = 0;  // of the checkpoint that it was changed in
   std::int64_t submitted_wall_ms = 0;
+  /// Its user has asked to cancel it; its tasks are being stopped.
+  bool cancel_asked = false;
   /// Over, and surely none of its tasks is left on any machine.
   bool final = false;
   /// Starts may have been sent for the tasks below this number. Written before they are.
@@ -124,7 +133,13 @@
   std::map<std::size_t, std::vector<MachineRecord>> machines;
   std::vector<std::string> in_head;
   std::map<std::pair<std::string, std::size_t>, std::string> pieces;
-  std::uint64_t unreadable = 0;  // values that could not be understood
+  /// Keys of values that could not be understood, or not as a whole. What they held is unknown,
+  /// not missing.
+  std::set<std::string> unreadable;
+
+ private:
+  void apply_jobs(const json::Document& doc, bool is_head, std::size_t shard,
+                  const std::string& key);
 };
 
 }  // namespace sailreel
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -40,6 +40,10 @@
   Phase committed_phase = Phase::Active;  // what users may be told
   std::uint32_t started = 0;              // as the checkpoint has it: tasks below may have started
   bool dirty = false;  // differs from the checkpoint, and the next round looks at it
+  /// Its record as the checkpoint has it, and as the round in flight would leave it.
+  std::string stored, round_text;
+  bool in_round = false;  // the round in flight has a change of it
+  Phase round_phase = Phase::Active;
   std::set<std::size_t> dirty_pieces;
   bool cancelling = false;  // its user asked to cancel it, and tasks may still be on machines
   std::uint64_t order = 0;  // of acceptance
@@ -55,6 +59,8 @@
   Time not_before = 0;
 
   [[nodiscard]] const JobSpec& spec() const { return record.spec; }
+  /// Whether the round in flight may have changed what users may be told.
+  [[nodiscard]] bool in_doubt() const { return in_round && round_phase != committed_phase; }
   /// To be served on.
   [[nodiscard]] bool active() const { return record.phase == Phase::Active && !cancelling; }
   /// How many tasks may be in one zone.
--- /dev/null
+++ b/tests/meetings_test.cpp
@@ -0,0 +1,38 @@
+// Seeded days on which troubles meet: two or three begin within seconds of each other, while users
+// look closely and call jobs off.
+#include <gtest/gtest.h>
+
+#include "sim/world.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+class MeetingDay : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(MeetingDay, KeepsTheRules) {
+  DayPlan plan;
+  plan.seed = GetParam();
+  plan.meetings = true;
+  plan.length = 330'000;
+  plan.troubles_until = 190'000;
+  // Other ratios of lease, cancellation and report.
+  if (plan.seed % 3 == 1) plan.cancel_s = 14;
+  if (plan.seed % 3 == 2) {
+    plan.lease_s = 6;
+    plan.report_s = 0.8;
+    plan.cancel_s = 20;
+  }
+  if (plan.seed % 4 == 0) plan.boots_ms = 1'500;
+  World world(plan);
+  world.run();
+  world.checker().end_served();
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+  EXPECT_EQ(world.state().malformed, 0U);
+  EXPECT_EQ(world.malformed_answers(), 0U);
+  EXPECT_GT(world.checker().jobs_over(), plan.jobs / 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, MeetingDay, ::testing::Range<std::uint64_t>(1, 61));
+
+}  // namespace
+}  // namespace sailreel::sim
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -169,7 +169,9 @@
   request.request = {77, UserOp::Submit, "job-1", std::string(60'000, 'x')};
   PeerMessage answer;
   answer.kind = PeerMessage::Kind::Answer;
-  answer.answer = {78, 503, 1, "{}"};
+  answer.answer = {78, 503, 1, 2'500, "{}"};
+  PeerMessage lasting = answer;
+  lasting.answer.valid_ms.reset();
   PeerMessage beat;
   beat.beat.node = "node-0";
   beat.beat.epoch = 5;
@@ -182,7 +184,8 @@
   beat.beat.heard_clock = 900;
   beat.beat.keep_ms = 35'000;
   beat.beat.alone_ms = 0;
-  const std::string bytes = encode_peer(request) + encode_peer(answer) + encode_peer(beat);
+  const std::string bytes =
+      encode_peer(request) + encode_peer(answer) + encode_peer(beat) + encode_peer(lasting);
   pcg32 random(3);
   PeerReader reader;
   std::vector<PeerMessage> out;
@@ -192,9 +195,11 @@
     i += n;
     while (auto m = reader.next()) out.push_back(*m);
   }
-  ASSERT_EQ(out.size(), 3U);
+  ASSERT_EQ(out.size(), 4U);
   EXPECT_EQ(out[0].request.body.size(), 60'000U);
   EXPECT_EQ(out[1].answer.status, 503);
+  EXPECT_EQ(out[1].answer.valid_ms, 2'500U);
+  EXPECT_FALSE(out[3].answer.valid_ms.has_value());
   const PeerBeat& b = out[2].beat;
   EXPECT_TRUE(b.leading && b.hears_leader && !b.holding && b.hears_workers);
   EXPECT_EQ(b.node, "node-0");
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -3,42 +3,11 @@
 
 #include <cstdio>
 
-#include "sim/world.hpp"
+#include "sim/scenes.hpp"
 
 namespace sailreel::sim {
 namespace {
 
-DayPlan quiet(std::uint64_t seed) {
-  DayPlan p;
-  p.seed = seed;
-  p.jobs = 0;
-  p.troubles = false;
-  p.length = 120'000;
-  return p;
-}
-
-JobSpec array(const std::string& id, std::uint32_t tasks, double run_s) {
-  JobSpec s;
-  s.id = id;
-  s.job_class = "batch";
-  s.team = "red";
-  s.tasks = tasks;
-  s.need = {2, 1, 10};
-  s.image = "img-0";
-  s.image_gb = 10;
-  s.estimate_s = run_s;
-  s.spot = true;
-  return s;
-}
-
-JobSpec service(const std::string& id, std::uint32_t tasks) {
-  JobSpec s = array(id, tasks, 0);
-  s.kind = JobKind::Service;
-  s.priority = Priority::Production;
-  s.spot = false;
-  return s;
-}
-
 void count_starts(World& world, int& starts) {
   world.on_command = [&starts](const std::string&, const Command& c) {
     starts += c.op == Command::Op::Start ? 1 : 0;
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -28,18 +28,25 @@
   void submitted(const JobSpec& spec) { jobs_[spec.id].spec = spec; }
   void cancel_asked(const std::string& id) { jobs_[id].asked = true; }
 
-  /// A user was told something of a job: "pending", "running", "done", "cancelled".
+  /// A user was told something of a job: "pending", "running", "done", "cancelled". What is told
+  /// anywhere binds the answers to all questions that are asked later.
   void told(const std::string& id, const std::string& state, Time now) {
+    told(id, state, now, now);
+  }
+  void told(const std::string& id, const std::string& state, Time now, Time asked) {
     const auto it = jobs_.find(id);
     if (it == jobs_.end() || !it->second.spec) return broken("invented", id);
     JobBook& j = it->second;
+    if (!j.accepted) j.accepted_at = now;
     j.accepted = true;
     j.last_known = last_answer_ = now;
     j.failing = false;
+    const bool is_final = state == "done" || state == "cancelled";
+    if (!j.final_state.empty() && !is_final && asked < j.final_at) return;
     if (j.final_state.empty()) {
       if (state == "done" && j.completed.size() < j.spec->tasks) broken("not_done", id);
       if (state == "cancelled" && !j.asked) broken("went_back", id + " cancelled by nobody");
-      if (state == "done" || state == "cancelled") {
+      if (is_final) {
         j.final_state = state;
         j.final_at = now;
       }
@@ -48,17 +55,53 @@
     }
   }
   /// A user got a refusal for good: 404 to a poll, 400 or 422 to a submission.
-  void refused(const std::string& id, int status, bool poll) {
+  void refused(const std::string& id, int status, bool poll) { refused(id, status, poll, kNever); }
+  void refused(const std::string& id, int status, bool poll, Time asked) {
     const auto it = jobs_.find(id);
-    if (it != jobs_.end() && it->second.accepted && (poll ? status == 404 : status != 404))
+    if (it != jobs_.end() && it->second.accepted && asked >= it->second.accepted_at &&
+        (poll ? status == 404 : status != 404))
       broken("forgotten", id + " answered " + std::to_string(status));
   }
 
-  /// A poll of a job failed. For one job alone to fail for so long is to have forgotten it.
+  /// All troubles are over.
+  void calm(Time now) { calm_since_ = now; }
+  [[nodiscard]] bool is_calm() const { return calm_since_ != kNever; }
+
+  /// A job that can't run, or whose submission lacks a field, was accepted.
+  void accepted_unfit(const std::string& id) { broken("accepted_unfit", id); }
+
+  /// A worker has taken a start.
+  void start_taken(const std::string& id) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end() || !it->second.spec) return broken("invented", id + " started");
+    if (it->second.final_state == "cancelled") broken("started_cancelled", id);
+  }
+
+  /// Whether a job waits for a start that some machine has room for, its team being under its
+  /// limit.
+  void waiting(const std::string& id, bool possible, Time now) {
+    constexpr Time kFor = 90'000;
+    JobBook& j = jobs_[id];
+    if (!possible || !is_calm()) {
+      j.waiting_since = kNever;
+    } else if (j.waiting_since == kNever) {
+      j.waiting_since = now;
+    } else if (now - j.waiting_since > kFor && !j.left_waiting) {
+      j.left_waiting = true;
+      broken("left_waiting", id);
+    }
+  }
+
+  /// A poll of a job failed. For one job alone to fail for so long is to have forgotten it; so it
+  /// is once all troubles are over, however others fare.
   void unanswered(const std::string& id, Time now) {
-    constexpr Time kFor = 90'000, kOthersWithin = 10'000;
+    constexpr Time kFor = 90'000, kOthersWithin = 10'000, kForInCalm = 75'000;
     JobBook& j = jobs_[id];
     if (!j.accepted || j.failing) return;
+    if (is_calm() && now - std::max(j.last_known, calm_since_) > kForInCalm) {
+      j.failing = true;
+      return broken("forgotten", id + " unanswered in calm");
+    }
     if (now - j.last_known > kFor && now - last_answer_ < kOthersWithin) {
       j.failing = true;
       broken("forgotten", id + " unanswered");
@@ -73,6 +116,7 @@
     auto& where = on_[task];
     if (!where.empty())
       broken("ran_twice", task + " on " + where.begin()->first + " and " + place.machine);
+    if (!j.begun) j.begun = now;
     const JobSpec& s = *j.spec;
     if ((place.spot && !s.spot) || (!s.zone.empty() && s.zone != place.zone) ||
         (!s.any_type && std::find(s.types.begin(), s.types.end(), place.type) == s.types.end()))
@@ -117,6 +161,37 @@
   void end() {
     if (starts_ == 0) broken("nothing_ran", "");
   }
+  /// The same, and who was served: of each class, of each team and of each class's largest jobs at
+  /// least half, and the largest begun within four minutes. A job that its user has called off
+  /// before it began says nothing.
+  void end_served() {
+    end();
+    constexpr Time kBeginWithin = 240'000;
+    std::map<std::string, std::pair<std::size_t, std::size_t>> served;  // and of how many
+    std::map<std::string, std::uint32_t> largest;
+    for (const auto& [id, j] : jobs_)
+      if (j.spec) {
+        auto& most = largest[j.spec->job_class];
+        most = std::max(most, j.spec->tasks);
+      }
+    for (const auto& [id, j] : jobs_) {
+      if (!j.accepted || !j.spec || (j.asked && !j.begun)) continue;
+      const bool is_served =
+          j.spec->kind == JobKind::Array ? !j.final_state.empty() : j.begun.has_value();
+      const auto count = [&](const std::string& group) {
+        auto& [n, of] = served[group];
+        n += is_served ? 1 : 0;
+        ++of;
+      };
+      count("class " + j.spec->job_class);
+      count("team " + j.spec->team);
+      if (j.spec->tasks < largest[j.spec->job_class]) continue;
+      count("largest of class " + j.spec->job_class);
+      if (!j.begun || *j.begun - j.accepted_at > kBeginWithin) broken("late_largest", id);
+    }
+    for (const auto& [group, n] : served)
+      if (2 * n.first < n.second) broken("not_served", group);
+  }
 
   [[nodiscard]] const std::map<std::string, std::vector<std::string>>& violations() const {
     return violations_;
@@ -146,7 +221,9 @@
     std::optional<JobSpec> spec;
     bool asked = false, accepted = false, failing = false;
     std::string final_state;
-    Time final_at = 0, last_known = 0;
+    Time final_at = 0, last_known = 0, accepted_at = 0, waiting_since = kNever;
+    std::optional<Time> begun;
+    bool left_waiting = false;
     std::set<std::uint32_t> completed;
   };
   void broken(const std::string& rule, const std::string& what) {
@@ -154,7 +231,7 @@
   }
 
   std::vector<Team> teams_;
-  Time cancel_, next_ = 0, last_answer_ = 0;
+  Time cancel_, next_ = 0, last_answer_ = 0, calm_since_ = kNever;
   std::map<std::string, JobBook> jobs_;
   std::map<std::string, std::map<std::string, Place>> on_;
   std::map<std::string, Resources> used_;
--- /dev/null
+++ b/tests/sim/troubles.cpp
@@ -0,0 +1,344 @@
+// Troubles of the simulated world, and the plans of seeded days.
+#include "sim/world.hpp"
+
+namespace sailreel::sim {
+
+int World::leader() const {
+  int best = -1;
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (nodes_[i].core && nodes_[i].core->leading() &&
+        (best < 0 ||
+         nodes_[i].core->epoch() > nodes_[static_cast<std::size_t>(best)].core->epoch()))
+      best = static_cast<int>(i);
+  return best;
+}
+
+std::vector<std::string> World::machines_up() const {
+  std::vector<std::string> out;
+  for (const auto& [name, w] : workers_)
+    if (w.alive) out.push_back(name);
+  return out;
+}
+
+void World::kill(std::size_t node, Time for_ms) {
+  Node& n = nodes_[node];
+  if (!n.core) return;
+  n.core.reset();
+  n.frozen_until = 0;
+  ++n.life;
+  for (std::size_t j = 0; j < nodes_.size(); ++j) {
+    if (j == node) continue;
+    const auto& siblings = settings_[j].siblings;
+    for (std::size_t k = 0; k < siblings.size(); ++k)
+      if (siblings[k].name == n.name)
+        carry(n.name, nodes_[j].name, [this, j, k] { feed(j, PeerLost{k}); });
+  }
+  at(now_ + for_ms, [this, node] {
+    if (!nodes_[node].core) start_node(node);
+  });
+}
+
+void World::cut(const std::string& a, const std::string& b, Time for_ms, bool hold) {
+  const auto key = std::minmax(a, b);
+  cuts_[{key.first, key.second}] = {now_ + for_ms, hold};
+}
+
+void World::cut_zone(const std::string& zone, Time for_ms, bool hold) {
+  zone_cuts_[zone] = {now_ + for_ms, hold};
+}
+
+std::string World::zone_of(const std::string& host) const {
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (nodes_[i].name == host) return settings_[i].zone;
+  const auto it = workers_.find(host);
+  return it == workers_.end() ? std::string() : it->second.machine.zone;
+}
+
+std::pair<Time, bool> World::cut_between(const std::string& a, const std::string& b) const {
+  std::pair<Time, bool> longest{0, false};
+  const auto key = std::minmax(a, b);
+  if (const auto it = cuts_.find({key.first, key.second}); it != cuts_.end()) longest = it->second;
+  if (zone_cuts_.empty()) return longest;
+  const std::string za = zone_of(a), zb = zone_of(b);
+  if (za == zb) return longest;
+  for (const auto& [zone, cut] : zone_cuts_)
+    if (zone == za || zone == zb) longest = std::max(longest, cut);
+  return longest;
+}
+
+void World::freeze(std::size_t node, Time for_ms) { nodes_[node].frozen_until = now_ + for_ms; }
+
+void World::refuse_state(std::size_t node, Time for_ms) {
+  nodes_[node].refused_until = now_ + for_ms;
+}
+
+void World::state_outage(Time for_ms) {
+  state_.outage = true;
+  at(now_ + for_ms, [this] { state_.outage_over(now_); });
+}
+
+void World::kill_machine(const std::string& name) {
+  Worker& w = workers_[name];
+  if (!w.alive) return;
+  w.alive = false;
+  for (const auto& [key, list] : w.tasks)
+    for (const WorkTask& t : list)
+      if (t.on) ended(t.report.key, name, false);
+}
+
+void World::hang_machine(const std::string& name, Time for_ms) {
+  workers_[name].hang_until = now_ + for_ms;
+  // Beyond its lease a machine that hangs counts as having lost its tasks.
+  const Time lease = ms(settings_[0].workers.lease_s);
+  at(now_ + lease + 100, [this, name, until = now_ + for_ms] {
+    Worker& w = workers_[name];
+    if (w.alive && now_ < until)
+      for (auto& [key, list] : w.tasks)
+        for (WorkTask& t : list) {
+          if (t.on) ended(t.report.key, name, false);
+          t.on = false;
+        }
+  });
+}
+
+void World::deafen_machine(const std::string& name, Time for_ms) {
+  workers_[name].deaf_until = now_ + for_ms;
+}
+
+void World::mute_machine(const std::string& name, Time for_ms) {
+  workers_[name].mute_until = now_ + for_ms;
+}
+
+void World::isolate(std::size_t node, Time for_ms, bool hold) {
+  cut(node_name(node), "state", for_ms, hold);
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (i != node) cut(node_name(node), node_name(i), for_ms, hold);
+}
+
+void World::late_writes(double share, Time for_ms, bool at_once) {
+  (at_once ? lost_answers_ : late_writes_) = {share, now_ + for_ms};
+}
+
+void World::reports_for_next(double share, Time for_ms) { for_next_ = {share, now_ + for_ms}; }
+
+void World::late_reports(double share, Time for_ms) { late_reports_ = {share, now_ + for_ms}; }
+
+void World::slow_commands(Time for_ms) { slow_commands_ = {0.5, now_ + for_ms}; }
+
+void World::cancel_at_end(double share, Time for_ms) { cancel_at_end_ = {share, now_ + for_ms}; }
+
+void World::close_looks(Time for_ms) { close_looks_until_ = now_ + for_ms; }
+
+void World::odd_requests(Time for_ms) { odd_request(now_ + for_ms); }
+
+void World::cancel_now(std::size_t count, Time hang_ms) {
+  std::vector<std::pair<std::size_t, std::string>> running;  // and where
+  for (const auto& [name, w] : workers_)
+    for (const auto& [key, list] : w.tasks)
+      if (w.alive && by_job_.contains(key.first)) running.emplace_back(by_job_.at(key.first), name);
+  std::set<std::size_t> chosen;
+  for (std::size_t tries = 0; tries < 4 * count && chosen.size() < count && !running.empty();
+       ++tries) {
+    const auto& [user, machine] = running[random_(static_cast<std::uint32_t>(running.size()))];
+    if (!chosen.insert(user).second) continue;
+    at(now_ + random_(200), [this, user = user] { call_off(user); });
+    if (hang_ms > 0 && chosen.size() <= 8) hang_machine(machine, hang_ms);
+  }
+}
+
+void World::notice_machine(const std::string& name, Time in_ms) {
+  workers_[name].notice_at = now_ + in_ms;
+  at(now_ + in_ms, [this, name] {
+    cloud_.machines.erase(name);
+    kill_machine(name);
+  });
+}
+
+void World::plan_jobs() {
+  std::set<std::string> ids;
+  for (std::uint32_t n = 0; n < plan_.jobs; ++n) {
+    JobSpec s;
+    // In no order, and no two the same.
+    do s.id = "job-" + std::to_string(100'000 + random_(900'000));
+    while (!ids.insert(s.id).second);
+    s.job_class = n % 3 == 0 ? "batch" : "serve";
+    s.team = random_(3) == 0 ? "blue" : "red";
+    s.kind = n % 3 == 0 ? JobKind::Array : JobKind::Service;
+    s.priority = s.kind == JobKind::Array ? Priority::Low : static_cast<Priority>(random_(2));
+    s.tasks = s.kind == JobKind::Array ? 1 + random_(8) : 1 + random_(2);
+    if (plan_.scale > 1) s.tasks *= 4;
+    s.need = {2, 1, 10};
+    s.image = "img-" + std::to_string(random_(4));
+    s.image_gb = 10;
+    s.spot = s.kind == JobKind::Array;
+    s.spread = s.kind == JobKind::Service && random_(2) == 0;
+    s.one_zone = !s.spread && random_(4) == 0;
+    if (random_(8) == 0 && !s.spread) s.zone = random_(2) == 0 ? "za" : "zb";
+    s.estimate_s = s.kind == JobKind::Array ? 5 + random_(20) : 0;
+    if (random_(2) == 0 && s.kind == JobKind::Array) {
+      s.checkpoint_s = 5;
+      s.save_s = 1;
+    }
+    const Time when = n < plan_.jobs / 3
+                          ? 500 + random_(2000)
+                          : 5'000 + random_(static_cast<std::uint32_t>(plan_.length * 6 / 10));
+    const bool cancelled = s.kind == JobKind::Service || random_(6) == 0;
+    const Time cancel_at = cancelled ? when + 10'000 + random_(60'000) : 0;
+    at(when, [this, s, cancel_at] { submit(s, cancel_at); });
+  }
+}
+
+// What the operators saw break rules: troubles that meet. Two or three of them begin within
+// seconds, while users look closely and call jobs off; four such meetings a day.
+void World::plan_meetings() {
+  const Time span = plan_.troubles_until - plan_.troubles_from;
+  at(plan_.troubles_from, [this, span] {
+    close_looks(span);
+    odd_requests(span);
+    cancel_at_end(0.3, span);
+  });
+  constexpr int kMeetings = 4;
+  for (int n = 0; n < kMeetings; ++n) {
+    const Time when = plan_.troubles_from + n * span / kMeetings + random_(4'000);
+    const std::uint32_t troubles = 2 + random_(2);
+    for (std::uint32_t k = 0; k < troubles; ++k)
+      at(when + random_(2'500), [this] { meet(random_(16)); });
+    at(when + random_(2'500),
+       [this] { cancel_now(4, random_(3) == 0 ? 2'000 + random_(12'000) : 0); });
+  }
+  at(plan_.troubles_until + ms(2 * plan_.lease_s), [this] { calm(); });
+}
+
+void World::meet(std::uint32_t kind) {
+  const int lead = leader();
+  const std::size_t target = lead >= 0 ? static_cast<std::size_t>(lead) : random_(3);
+  const auto up = machines_up();
+  const std::string machine = up.empty() ? "" : up[random_(static_cast<std::uint32_t>(up.size()))];
+  const Time lease = ms(plan_.lease_s);
+  const Time longer = lease / 2 + random_(static_cast<std::uint32_t>(lease));
+  const bool hold = random_(2) == 0;
+  switch (kind) {
+    case 0:
+      return isolate(target, longer, hold);
+    case 1:
+      return refuse_state(target, longer);
+    case 2:
+      return state_outage(longer);
+    case 3:
+      return kill(target, random_(2) == 0 ? 300 : 6'000);
+    case 4:  // all end, and one returns within a second
+      for (std::size_t i = 0; i < 3; ++i) kill(i, i == target ? 500 : 8'000);
+      return;
+    case 5:
+      return late_writes(0.4, longer, true);
+    case 6:
+      return late_writes(0.3, longer, false);
+    case 7:
+      return reports_for_next(0.3, longer);
+    case 8:
+      return late_reports(0.3, longer);
+    case 9:
+      if (!machine.empty()) mute_machine(machine, 2 * longer);
+      return;
+    case 10:
+      if (!machine.empty()) deafen_machine(machine, 2 * longer);
+      return;
+    case 11:
+      return slow_commands(longer);
+    case 12:
+      return freeze(target, longer);
+    case 13:
+      return cut_zone(random_(2) == 0 ? "za" : "zb", longer, hold);
+    case 14:  // leaders change again and again
+      for (int n = 0; n < 5; ++n)
+        at(now_ + n * 3'000, [this] {
+          if (const int next = leader(); next >= 0) kill(static_cast<std::size_t>(next), 700);
+        });
+      return;
+    default:  // from the state service alone, holding what is sent
+      return cut(node_name(target), "state", longer, hold);
+  }
+}
+
+void World::plan_troubles() {
+  const auto span = static_cast<std::uint32_t>(plan_.troubles_until - plan_.troubles_from);
+  const std::uint32_t count = 6 + random_(6);
+  for (std::uint32_t n = 0; n < count; ++n) {
+    const Time when = plan_.troubles_from + random_(span);
+    const std::uint32_t kind = random_(16);
+    at(when, [this, kind] {
+      const auto node = random_(3);
+      const int lead = leader();
+      const std::size_t target =
+          lead >= 0 && random_(2) == 0 ? static_cast<std::size_t>(lead) : node;
+      const auto up = machines_up();
+      const std::string machine =
+          up.empty() ? "" : up[random_(static_cast<std::uint32_t>(up.size()))];
+      const Time span_ms = 2'000 + random_(25'000);
+      const bool hold = random_(2) == 0;
+      switch (kind) {
+        case 0:
+          kill(target, random_(3) == 0 ? 200 : 6'000);
+          break;
+        case 1:
+          for (std::size_t i = 0; i < 3; ++i) kill(i, 6'000);
+          break;
+        case 2:  // from everything
+          for (const std::string& other :
+               {std::string("state"), std::string("cloud"), std::string("users"),
+                node_name((target + 1) % 3), node_name((target + 2) % 3)})
+            cut(node_name(target), other, span_ms, hold);
+          for (const auto& m : up) cut(node_name(target), m, span_ms, hold);
+          break;
+        case 3:
+          cut(node_name(target), "state", span_ms, hold);
+          break;
+        case 4:
+          for (const auto& m : up) cut(node_name(target), m, span_ms, hold);
+          break;
+        case 5:
+          refuse_state(target, span_ms);
+          break;
+        case 6:
+          state_outage(5'000 + random_(12'000));
+          break;
+        case 7:  // from the state service and the other controllers, but not from the workers
+          cut(node_name(target), "state", span_ms, hold);
+          for (std::size_t i = 0; i < 3; ++i)
+            if (i != target) cut(node_name(target), node_name(i), span_ms, hold);
+          break;
+        case 8:
+          if (!machine.empty()) {
+            cloud_.machines.erase(machine);
+            kill_machine(machine);
+          }
+          break;
+        case 12:  // one machine, from all controllers
+        case 13:
+          for (std::size_t i = 0; i < 3; ++i)
+            if (!machine.empty()) cut(node_name(i), machine, span_ms, hold);
+          break;
+        case 14:
+          cut_zone(random_(2) == 0 ? "za" : "zb", span_ms, hold);
+          break;
+        case 15:
+          freeze(target, span_ms);
+          break;
+        case 9:
+          if (!machine.empty()) hang_machine(machine, span_ms);
+          break;
+        case 10:
+          if (!machine.empty()) deafen_machine(machine, span_ms);
+          break;
+        default:
+          // One machine is taken back; where there are many, a wave of them.
+          for (std::size_t k = 0; k < up.size();
+               k += std::max<std::size_t>(1, up.size() / plan_.scale))
+            notice_machine(k == 0 ? machine : up[k], 5'000);
+          break;
+      }
+    });
+  }
+}
+
+}  // namespace sailreel::sim
--- /dev/null
+++ b/tests/sim/workers.cpp
@@ -0,0 +1,411 @@
+// The workers of the simulated world, by their published protocol.
+#include "protocol/json.hpp"
+#include "protocol/worker_codec.hpp"
+#include "sim/world.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+constexpr Time kReportWait = 4'000, kWorkerTick = 100;
+
+std::vector<Command> parse_orders(const std::string& body, std::uint64_t& token) {
+  json::Document doc;
+  std::vector<Command> out;
+  if (!json::parse_object(body, doc) || !json::get(doc, "helm", token)) return out;
+  for (const auto& v : doc["orders"].GetArray()) {
+    Command c;
+    const std::string op = v["signal"].GetString(), task = v["hand"].GetString();
+    c.op = op == "start"  ? Command::Op::Start
+           : op == "kill" ? Command::Op::Stop
+                          : Command::Op::Forget;
+    const auto slash = task.rfind('/');
+    c.key = {task.substr(0, slash), static_cast<std::uint32_t>(std::stoul(task.substr(slash + 1)))};
+    c.attempt = v["launch"].GetUint64();
+    if (c.op == Command::Op::Stop) c.grace_s = v["slack_s"].GetDouble();
+    out.push_back(c);
+  }
+  return out;
+}
+
+}  // namespace
+
+Report World::make_report(Worker& w) {
+  Report r;
+  r.machine = w.machine.name;
+  r.address = w.machine.address;
+  r.type = w.machine.type;
+  r.zone = w.machine.zone;
+  r.spot = w.machine.spot;
+  r.session = w.session;
+  r.seq = ++w.seq;
+  r.token = w.token;
+  if (w.notice_at > 0)
+    r.notice_s = static_cast<double>(std::max<Time>(0, w.notice_at - now_)) / 1000;
+  for (const auto& [key, list] : w.tasks)
+    for (const WorkTask& t : list) r.tasks.push_back(t.report);
+  return r;
+}
+
+void World::ended(const TaskKey& key, const std::string& machine, bool completed) {
+  checker_.ended(key, machine, completed);
+  if (on_ended) on_ended(key, machine);
+}
+
+void World::lapse(Worker& w) {
+  for (const auto& [key, list] : w.tasks)
+    for (const WorkTask& t : list)
+      if (t.on) ended(t.report.key, w.machine.name, false);
+  w.tasks.clear();
+  ++w.session;
+  w.began = w.last_ok_sent = now_;
+  w.in_flight = false;
+  w.changed = true;
+}
+
+void World::worker_tick(const std::string& name) {
+  const auto found = workers_.find(name);
+  if (found == workers_.end() || !found->second.alive) return;
+  Worker& w = found->second;
+  if (now_ < w.hang_until) {
+    at(w.hang_until, [this, name] { worker_tick(name); });
+    return;
+  }
+  const double lease = settings_[0].workers.lease_s * 1000;
+  if (static_cast<double>(now_ - w.last_ok_sent) * w.drift > lease) lapse(w);
+  for (auto& [key, list] : w.tasks)
+    for (WorkTask& t : list) {
+      ReportedTask& r = t.report;
+      const auto end = [&](ExitCause cause) {
+        if (t.on) ended(r.key, w.machine.name, cause == ExitCause::Done);
+        t.on = false;
+        r.state = RunState::Exited;
+        r.cause = cause;
+        w.changed = true;
+      };
+      if (r.state == RunState::Fetching && now_ >= t.image_at) {
+        r.state = RunState::Running;
+        t.on = true;
+        w.changed = true;
+        checker_.started(r.key, {name, w.machine.type, w.machine.zone, w.machine.spot}, now_);
+        if (const User* u = user_of(r.key.job)) {
+          w.images.insert(u->spec.image);
+          if (u->spec.kind == JobKind::Array)
+            t.done_at = w.done.contains(r.key.job + "/" + std::to_string(r.key.index))
+                            ? now_
+                            : now_ + static_cast<Time>(u->spec.estimate_s * (500 + random_(1000)));
+          if (t.done_at > 0 && strikes(cancel_at_end_))
+            at(t.done_at - 50 + random_(200),
+               [this, id = u->spec.id] { call_off(by_job_.at(id)); });
+        }
+      }
+      if (r.state == RunState::Running && t.done_at > 0 && now_ >= t.done_at) {
+        w.done.insert(r.key.job + "/" + std::to_string(r.key.index));
+        end(ExitCause::Done);
+        completed(r.key);
+        if (on_completed) on_completed(r.key, name);
+      }
+      if (r.state == RunState::Saving && now_ >= t.exits_at) {
+        r.saved = true;
+        end(ExitCause::Stopped);
+      }
+    }
+  if (!w.in_flight && (now_ >= w.next_report || (w.changed && now_ - w.last_report >= 500)))
+    send_report(w);
+  at(now_ + kWorkerTick, [this, name] { worker_tick(name); });
+}
+
+void World::send_report(Worker& w) {
+  const std::string name = w.machine.name;
+  const Report report = make_report(w);
+  const Time sent = now_;
+  const std::uint64_t flight = ++w.flight, session = w.session;
+  w.in_flight = true;
+  w.changed = false;
+  w.last_report = now_;
+  const Time interval = ms(settings_[0].workers.report_s);
+  w.next_report = now_ + interval * 3 / 4 +
+                  static_cast<Time>(random_(static_cast<std::uint32_t>(interval / 2)));
+  const std::size_t i = w.node;
+  const std::uint64_t call = next_call_++;
+  const auto finish = [this, name, flight, sent, session](int status, const std::string& body) {
+    const auto it = workers_.find(name);
+    if (it == workers_.end() || !it->second.alive || now_ < it->second.deaf_until) return;
+    if (now_ < it->second.mute_until) return;
+    take_answer(it->second, flight, sent, session, status, body);
+  };
+  answers_[call] = [this, i, name, finish](int status, const std::string& body) {
+    carry(node_name(i), name, [finish, status, body] { finish(status, body); });
+  };
+  // What is handed on between nodes is never looked into by this stand-in, so its form is free.
+  const std::string raw = [&] {
+    rapidjson::StringBuffer b;
+    json::Writer j(b);
+    j.StartObject();
+    const auto text = [&](const char* k, const std::string& v) {
+      j.Key(k);
+      json::put(j, v);
+    };
+    const auto whole = [&](const char* k, std::uint64_t v) {
+      j.Key(k);
+      j.Uint64(v);
+    };
+    text("vessel", report.machine);
+    text("endpoint", report.address);
+    text("hull", report.type);
+    text("harbor", report.zone);
+    j.Key("driftwood");
+    j.Bool(report.spot);
+    whole("watch", report.session);
+    whole("bell", report.seq);
+    whole("helm", report.token);
+    if (report.notice_s) {
+      j.Key("recall_s");
+      j.Double(*report.notice_s);
+    }
+    j.Key("hands");
+    j.StartArray();
+    static const char* const kState[] = {"pulling", "running", "flushing", "ended"};
+    static const char* const kCause[] = {"",        "done", "stopped", "error",
+                                         "no_room", "busy", "unknown"};
+    for (const ReportedTask& t : report.tasks) {
+      j.StartObject();
+      text("hand", t.key.job + "/" + std::to_string(t.key.index));
+      whole("launch", t.attempt);
+      text("heading", kState[static_cast<std::size_t>(t.state)]);
+      if (t.state == RunState::Exited) text("wake", kCause[static_cast<std::size_t>(t.cause)]);
+      j.EndObject();
+    }
+    j.EndArray();
+    j.EndObject();
+    return json::text(b);
+  }();
+  const auto deliver = [this, i, raw](Origin origin) {
+    ++reports_;
+    if (auto decoded = decode_report(raw)) feed(i, WorkerReport{origin, *decoded, raw});
+  };
+  if (now_ >= w.mute_until)
+    carry(name, node_name(i), [this, i, deliver, call, finish] {
+      if (!nodes_[i].core) return finish(0, "");
+      deliver({Origin::Kind::Local, call, 0});
+    });
+  if (random_(1000) < plan_.late_copies * 1000)
+    at(now_ + 1000 + random_(40'000),
+       [this, name, i, deliver] { carry(name, node_name(i), [deliver] { deliver({}); }); });
+  if (strikes(for_next_)) kept_reports_.push_back(raw);
+  if (strikes(late_reports_))
+    at(now_ + 2'000 + random_(static_cast<std::uint32_t>(2'500 * plan_.lease_s)),
+       [this, raw] { deliver_everywhere(raw); });
+  at(now_ + kReportWait, [this, name, call, flight, sent, session] {
+    answers_.erase(call);
+    const auto it = workers_.find(name);
+    if (it != workers_.end() && it->second.alive)
+      take_answer(it->second, flight, sent, session, 0, "");
+  });
+}
+
+void World::take_answer(Worker& w, std::uint64_t flight, Time sent, std::uint64_t session,
+                        int status, const std::string& body) {
+  if (!w.in_flight || w.flight != flight) return;
+  w.in_flight = false;
+  if (now_ < w.hang_until) return;
+  if (status == 200) {
+    std::uint64_t token = 0;
+    const auto orders = parse_orders(body, token);
+    if (session != w.session || token < w.token || token == 0) return;
+    if (token > w.token) w.changed = true;
+    w.token = token;
+    w.last_ok_sent = std::max(w.last_ok_sent, sent);
+    for (const Command& c : orders) obey(w, c);
+    return;
+  }
+  const auto quoted = body.find("node-");
+  if (status == 421 && quoted != std::string::npos) {
+    const auto to = static_cast<std::size_t>(body[quoted + 5] - '0');
+    if (to != w.node) {
+      w.node = to;
+      w.next_report = now_ + random_(500);
+      return;
+    }
+  }
+  w.node = (w.node + 1) % 3;
+  w.next_report = now_ + 1000;
+}
+
+void World::obey(Worker& w, const Command& c) {
+  if (on_command) on_command(w.machine.name, c);
+  auto& list = w.tasks[{c.key.job, c.key.index}];
+  const auto same = std::find_if(list.begin(), list.end(),
+                                 [&](const WorkTask& t) { return t.report.attempt == c.attempt; });
+  switch (c.op) {
+    case Command::Op::Start: {
+      if (same != list.end()) return;
+      WorkTask t;
+      t.report.key = c.key;
+      t.report.attempt = c.attempt;
+      const User* user = user_of(c.key.job);
+      const auto refuse = [&](ExitCause cause) {
+        t.report.state = RunState::Exited;
+        t.report.cause = cause;
+      };
+      Resources used;
+      for (const auto& [key, tasks] : w.tasks)
+        for (const WorkTask& other : tasks)
+          if (other.report.state != RunState::Exited)
+            if (const User* u = user_of(key.first)) used += u->spec.need;
+      if (user == nullptr) {
+        refuse(ExitCause::Unknown);
+      } else if (std::any_of(list.begin(), list.end(), [](const WorkTask& o) {
+                   return o.report.state != RunState::Exited;
+                 })) {
+        refuse(ExitCause::Busy);
+      } else if (used += user->spec.need; !used.fits_in(cloud_.types.front().size)) {
+        refuse(ExitCause::NoRoom);
+      } else {
+        checker_.start_taken(c.key.job);
+        t.image_at = w.images.contains(user->spec.image)
+                         ? now_ + 50
+                         : now_ + static_cast<Time>(user->spec.image_gb * 200);
+      }
+      list.push_back(t);
+      w.changed = true;
+      return;
+    }
+    case Command::Op::Stop: {
+      if (same == list.end() || same->report.state == RunState::Exited) return;
+      const User* user = user_of(c.key.job);
+      const bool saves = same->report.state == RunState::Running && user != nullptr &&
+                         user->spec.checkpoint_s > 0 && c.grace_s >= user->spec.save_s;
+      if (saves) {
+        same->report.state = RunState::Saving;
+        same->exits_at = now_ + ms(user->spec.save_s);
+      } else if (same->report.state != RunState::Saving || c.grace_s <= 0) {
+        if (same->on) ended(c.key, w.machine.name, false);
+        same->on = false;
+        same->report.state = RunState::Exited;
+        same->report.cause = ExitCause::Stopped;
+      }
+      w.changed = true;
+      return;
+    }
+    case Command::Op::Forget:
+      if (same != list.end() && same->report.state == RunState::Exited) {
+        list.erase(same);
+        w.changed = true;
+      }
+      return;
+  }
+}
+
+void World::direct(std::size_t node, std::uint64_t call, const std::string& address,
+                   const std::string& body) {
+  const auto known = by_address_.find(address);
+  if (known == by_address_.end()) return;
+  const std::string name = known->second;
+  const std::uint64_t life = nodes_[node].life;
+  const auto execute = [=, this] { execute_direct(node, call, name, body, life); };
+  if (strikes(slow_commands_))
+    at(now_ + random_(6'000), execute);
+  else
+    carry(node_name(node), name, execute);
+}
+
+void World::execute_direct(std::size_t node, std::uint64_t call, const std::string& name,
+                           const std::string& body, std::uint64_t life) {
+  const auto it = workers_.find(name);
+  if (it == workers_.end() || !it->second.alive || now_ < it->second.deaf_until) return;
+  Worker& w = it->second;
+  if (now_ < w.hang_until)  // carried out late
+    return at(w.hang_until + 5, [=, this] { execute_direct(node, call, name, body, life); });
+  json::Document doc;
+  std::uint64_t token = 0, session = 0;
+  int status = 400;
+  if (json::parse_object(body, doc) && json::get(doc, "helm", token) &&
+      json::get(doc, "watch", session)) {
+    status = token < w.token || session != w.session ? 409 : 200;
+    if (status == 200) {
+      if (token > w.token) w.changed = true;
+      w.token = token;
+      for (const Command& c : parse_orders(body, token)) obey(w, c);
+    }
+  }
+  const Report report = make_report(w);
+  const auto answer = [this, node, call, life, status, report] {
+    if (nodes_[node].life != life) return;
+    nodes_[node].direct_calls.erase(call);
+    feed(node, WorkerAnswer{call, status, report});
+  };
+  if (strikes(slow_commands_))
+    at(now_ + random_(6'000), answer);
+  else
+    carry(name, node_name(node), answer);
+}
+
+// A copy of a report, to all controllers at once; nobody waits for an answer.
+void World::deliver_everywhere(const std::string& raw) {
+  for (std::size_t i = 0; i < nodes_.size(); ++i)
+    if (auto decoded = decode_report(raw)) feed(i, WorkerReport{{}, *decoded, raw});
+}
+
+void World::deliver_copies() {
+  const int lead = leader();
+  if (lead < 0) return;
+  const std::uint64_t epoch = nodes_[static_cast<std::size_t>(lead)].core->epoch();
+  if (epoch <= copied_epoch_) return;
+  copied_epoch_ = epoch;
+  for (const std::string& raw : kept_reports_)
+    at(now_ + random_(300), [this, raw] { deliver_everywhere(raw); });
+  kept_reports_.clear();
+}
+
+// Names tasks that wait although a machine that suits them has room and their team is under its
+// limit.
+void World::watch_waiting() {
+  if (!checker_.is_calm()) return;
+  struct Room {
+    const Worker* worker;
+    Resources free;
+  };
+  std::vector<Room> rooms;
+  std::map<std::string, std::map<std::string, std::size_t>> zones;  // of a job's tasks
+  std::map<std::string, std::size_t> there;
+  std::map<std::string, Resources> used;
+  for (const auto& [name, w] : workers_) {
+    if (!w.alive || !cloud_.machines.contains(name)) continue;
+    Room room{&w, cloud_.types.front().size};
+    for (const auto& [key, list] : w.tasks)
+      for (const WorkTask& t : list) {
+        const User* u = user_of(key.first);
+        if (u == nullptr || t.report.state == RunState::Exited) continue;
+        room.free -= u->spec.need;
+        used[u->spec.team] += u->spec.need;
+        ++zones[key.first][w.machine.zone];
+        ++there[key.first];
+      }
+    if (now_ >= std::max({w.hang_until, w.deaf_until, w.mute_until}) && w.notice_at == 0)
+      rooms.push_back(room);
+  }
+  for (const auto& u : users_) {
+    const JobSpec& s = u->spec;
+    const bool wants = u->accepted && !u->over && !u->cancelling &&
+                       (u->cancel_at == 0 || now_ < u->cancel_at) &&
+                       there[s.id] + u->completed.size() < s.tasks;
+    bool possible = false;
+    for (const Team& t : settings_[0].teams)
+      if (wants && t.name == s.team)
+        possible = (t.gpus_max <= 0 || used[s.team].gpus + s.need.gpus <= t.gpus_max) &&
+                   (t.cpus_max <= 0 || used[s.team].cpus + s.need.cpus <= t.cpus_max);
+    const auto& mine = zones[s.id];
+    possible = possible && std::any_of(rooms.begin(), rooms.end(), [&](const Room& r) {
+                 const std::string& zone = r.worker->machine.zone;
+                 const auto in = mine.find(zone);
+                 if (r.worker->machine.spot && !s.spot) return false;
+                 if (!s.zone.empty() && s.zone != zone) return false;
+                 if (s.one_zone && !mine.empty() && in == mine.end()) return false;
+                 if (s.spread && in != mine.end() && in->second >= (s.tasks + 1) / 2) return false;
+                 return s.need.fits_in(r.free);
+               });
+    checker_.waiting(s.id, possible, now_);
+  }
+}
+
+}  // namespace sailreel::sim
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -24,11 +24,17 @@
   Time troubles_from = 40'000, troubles_until = 170'000;
   std::uint32_t jobs = 40;
   bool troubles = true;
+  bool meetings = false;    // troubles that meet, instead of single ones
   std::uint32_t scale = 1;  // of the capacity and the teams; 12 machines at 1
   double loss = 0.002;
   double late_copies = 0.01;
+  double report_s = 1, lease_s = 10, cancel_s = 30;
+  /// Machines are up after so long, whatever their type says; 0: as it says.
+  Time boots_ms = 0;
 };
 
+inline std::string node_name(std::size_t i) { return "node-" + std::to_string(i); }
+
 Settings sample_settings(std::size_t node, std::uint32_t scale = 1);
 std::string submission(const JobSpec& spec);
 
@@ -60,8 +66,36 @@
   /// Answers and commands don't reach the machine; its reports still arrive.
   void deafen_machine(const std::string& name, Time for_ms);
   void notice_machine(const std::string& name, Time in_ms);
+  /// The machine reaches no controller, while direct commands reach it.
+  void mute_machine(const std::string& name, Time for_ms);
+  /// The controller loses the state service and the other controllers, not its workers or users.
+  void isolate(std::size_t node, Time for_ms, bool hold);
+  /// Of that share of transactions the answer is lost; carried out at once, or 2 to 12 s late.
+  void late_writes(double share, Time for_ms, bool at_once);
+  /// That share of reports is kept, and reaches every controller as soon as another leads.
+  void reports_for_next(double share, Time for_ms);
+  /// Of that share of reports a copy reaches every controller, from 2 s to 2.5 leases later.
+  void late_reports(double share, Time for_ms);
+  /// Half of the direct commands, and of their answers, are held for up to six seconds.
+  void slow_commands(Time for_ms);
+  /// Users call off so many jobs that run; their machines may hang.
+  void cancel_now(std::size_t count, Time hang_ms);
+  /// That share of the tasks that complete has its job called off at that moment.
+  void cancel_at_end(double share, Time for_ms);
+  /// Users ask at all nodes within milliseconds after a job was accepted, ended or cancelled,
+  /// submit it again, and cancel some at once.
+  void close_looks(Time for_ms);
+  /// Repeated submissions, cancellations of jobs that are done, jobs that can't run or lack a
+  /// field, and questions about jobs that nobody submitted.
+  void odd_requests(Time for_ms);
+  /// All troubles are over: from now on nothing may be left waiting or unanswered.
+  void calm() { checker_.calm(now_); }
 
   void submit(const JobSpec& spec, Time cancel_at = 0);
+  void cancel(const std::string& id);
+  /// One question more, beside what the job's user does by itself.
+  void ask(const std::string& id, std::size_t node, UserOp op);
+  /// The node that leads under the highest epoch; -1: none does.
   [[nodiscard]] int leader() const;
   [[nodiscard]] const Core* core(std::size_t node) const { return nodes_[node].core.get(); }
   [[nodiscard]] std::vector<std::string> machines_up() const;
@@ -95,7 +129,7 @@
     bool alive = true;
     std::uint64_t session = 1, seq = 0, token = 0;
     std::size_t node = 0;
-    Time began = 0, last_ok_sent = 0, hang_until = 0, deaf_until = 0, notice_at = 0;
+    Time began = 0, last_ok_sent = 0, hang_until = 0, deaf_until = 0, mute_until = 0, notice_at = 0;
     Time next_report = 0, last_report = 0;
     bool in_flight = false, changed = false;
     std::uint64_t flight = 0;
@@ -107,8 +141,10 @@
     JobSpec spec;
     std::string body;
     bool accepted = false, cancelled = false, over = false, cancelling = false;
-    Time cancel_at = 0, next = 0, first = 0;
+    Time cancel_at = 0, first = 0, asked = 0;
     std::uint64_t call = 0;
+    std::uint64_t turn = 0;  // of its own requests; those of an older one are dropped
+    std::set<std::uint32_t> completed;
   };
   struct Event {
     Time at;
@@ -124,6 +160,7 @@
   [[nodiscard]] std::pair<Time, bool> cut_between(const std::string& a, const std::string& b) const;
   [[nodiscard]] Time delay();
   void start_node(std::size_t i);
+  [[nodiscard]] Time steady_clock(std::size_t node) const;
   void feed(std::size_t i, Input input);
   void act(std::size_t i, Action& action);
   void node_answer(std::size_t i, const Answer& a);
@@ -142,10 +179,22 @@
                       const std::string& body, std::uint64_t life);
   void housekeeping();
   void user_tick(std::size_t u);
-  void user_answer(std::size_t u, std::uint64_t call, UserOp op, int status,
-                   const std::string& body);
+  void user_next(std::size_t u, Time when);
+  /// Sends a request; `then` gets its answer, unless that is lost or late.
+  std::uint64_t request(std::size_t node, UserOp op, const std::string& id, const std::string& body,
+                        std::function<void(int, const std::string&)> then);
+  void look_closely(std::size_t u);
+  void odd_request(Time until);
+  void call_off(std::size_t u);
+  void completed(const TaskKey& key);
+  void watch_waiting();
+  void deliver_copies();
+  void deliver_everywhere(const std::string& raw);
+  void user_answer(std::size_t u, UserOp op, int status, const std::string& body);
   [[nodiscard]] const User* user_of(const std::string& job) const;
   void plan_troubles();
+  void plan_meetings();
+  void meet(std::uint32_t kind);
   void plan_jobs();
 
   DayPlan plan_;
@@ -161,10 +210,23 @@
   std::map<std::string, Worker> workers_;
   std::map<std::string, std::string> by_address_;
   std::vector<std::unique_ptr<User>> users_;
-  std::unordered_map<std::string, const User*> by_job_;
+  std::unordered_map<std::string, std::size_t> by_job_;
   // Until when, and whether what is sent meanwhile arrives afterwards.
   std::map<std::pair<std::string, std::string>, std::pair<Time, bool>> cuts_;
   std::map<std::string, std::pair<Time, bool>> zone_cuts_;
+  /// A trouble that meets a share of something until its end.
+  struct Share {
+    double of = 0;
+    Time until = 0;
+  };
+  [[nodiscard]] bool strikes(const Share& s) {
+    return now_ < s.until && random_(1'000'000) < s.of * 1'000'000;
+  }
+  Share late_writes_, lost_answers_, for_next_, late_reports_, cancel_at_end_, slow_commands_;
+  Time close_looks_until_ = 0;
+  std::vector<std::string> kept_reports_;
+  std::uint64_t copied_epoch_ = 0;
+  std::uint64_t next_odd_ = 1;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, std::function<void(int, const std::string&)>> answers_;
   std::uint64_t malformed_ = 0, unanswered_ = 0, reports_ = 0;
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -48,7 +48,7 @@
   r.done.set(39);
   Image image;
   image.apply(item(shard_key(4), encode_shard({encode_record(r)})));
-  ASSERT_EQ(image.unreadable, 0U);
+  ASSERT_TRUE(image.unreadable.empty());
   const JobRecord& back = image.jobs.at(r.spec.id);
   EXPECT_EQ(encode_record(back), encode_record(r));
   EXPECT_TRUE(back.done.test(3) && back.done.test(39));
@@ -80,7 +80,7 @@
   EXPECT_EQ(image.head.rentals[0].request, "r-4-1");
   EXPECT_EQ(image.head.rentals[0].count, 3U);
   image.apply(item(kHeadKey, "[]"));
-  EXPECT_EQ(image.unreadable, 1U);
+  EXPECT_EQ(image.unreadable.size(), 1U);
 }
 
 TEST(Checkpoint, MachinesKeepTheirImages) {
