--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -102,6 +102,7 @@
   if (u.call == 0) return;
   u.call = 0;
   if (op == UserOp::Submit && status == 0) ++unanswered_;
+  if (op == UserOp::Cancel && status == 0) ++unanswered_cancels_;
   if (accepted(status)) {
     const std::string state = heading_of(body);
     if (state.empty()) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -101,6 +101,8 @@
   [[nodiscard]] std::vector<std::string> machines_up() const;
   /// Submissions that got no answer within their user's patience.
   [[nodiscard]] std::uint64_t unanswered_submissions() const { return unanswered_; }
+  /// The same of cancellations, as far as the node they went to was up.
+  [[nodiscard]] std::uint64_t unanswered_cancellations() const { return unanswered_cancels_; }
   [[nodiscard]] std::uint64_t reports() const { return reports_; }
   [[nodiscard]] std::uint64_t malformed_answers() const { return malformed_; }
   /// Called when a worker has completed a task, before anybody hears of it.
@@ -229,7 +231,7 @@
   std::uint64_t next_odd_ = 1;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, std::function<void(int, const std::string&)>> answers_;
-  std::uint64_t malformed_ = 0, unanswered_ = 0, reports_ = 0;
+  std::uint64_t malformed_ = 0, unanswered_ = 0, unanswered_cancels_ = 0, reports_ = 0;
 };
 
 }  // namespace sailreel::sim
