--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -43,5 +43,186 @@
   }
 }
 
+// A burst larger than one round: what has to wait for the next isn't written, nor told by others,
+// before its own round, though its shard is written for other jobs' sake.
+TEST(Answers, AShardIsWrittenAsCommittedNotAsInMemory) {
+  constexpr std::size_t kJobs = 90;
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    DayPlan plan = quiet(seed + 20);
+    plan.length = 90'000;
+    World world(plan);
+    world.run_until(1'000);
+    for (std::size_t n = 0; n < kJobs; ++n) {
+      JobSpec s = service(job_id(n), 1);
+      s.need = {0.1, 0.05, 1};
+      world.submit(s);
+    }
+    world.run_until(40'000);
+    const std::size_t lead = leader_of(world);
+    for (std::size_t i = 0; i < 3; ++i)
+      if (i != lead) world.cut(node_name(lead), node_name(i), 20'000, false);
+    ask_everywhere(world, 1, 40'000, 42'000, 500);
+    // All at once, while most answers of the state service are lost: a round takes a second or two.
+    world.late_writes(0.7, 15'000, true);
+    for (std::size_t n = 0; n < kJobs; ++n) world.cancel(job_id(n));
+    ask_everywhere(world, kJobs, 42'000, 56'000, 350);
+    world.run();
+    EXPECT_TRUE(world.checker().violations().empty()) << seed << " " << world.checker().summary();
+    EXPECT_EQ(world.checker().jobs_over(), kJobs) << seed;
+  }
+}
+
+struct LooksScene {
+  const char* name;
+  std::function<void(World&, std::uint64_t)> trouble;
+};
+void PrintTo(const LooksScene& scene, std::ostream* out) { *out << scene.name; }
+
+class Looks : public ::testing::TestWithParam<LooksScene> {};
+
+// Users ask at all nodes again and again within milliseconds and repeat the submission, right after
+// a job was accepted, ended or called cancelled; they cancel at once, as the last task ends, and
+// what is over already; some of what they send can't run.
+TEST_P(Looks, NoNodeSaysLessThanAnotherHasSaid) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    DayPlan plan = quiet(seed * 3 + 100);
+    plan.length = 260'000;
+    World world(plan);
+    world.run_until(1'000);
+    world.close_looks(plan.length);
+    world.odd_requests(120'000);
+    world.cancel_at_end(0.4, 120'000);
+    crowd(world, 0, 10, seed);
+    std::size_t next = 10;
+    for (int round = 0; round < 5; ++round) {
+      for (int k = 0; k < 10; ++k, ++next)
+        world.submit(array(job_id(next), 1 + static_cast<std::uint32_t>(k % 2), 2 + k % 4));
+      world.run_until(world.now() + 3'000);
+      GetParam().trouble(world, seed);
+      // As tasks end, a few milliseconds apart.
+      for (int k = 0; k < 60; ++k) {
+        world.run_until(world.now() + 100);
+        for (std::size_t n = next - 10; n < next; ++n)
+          world.ask(job_id(n), (n + static_cast<std::size_t>(k)) % 3,
+                    k % 9 == 0 ? UserOp::Submit : UserOp::Query);
+      }
+      world.run_until(world.now() + 9'000);
+    }
+    world.run_until(150'000);
+    world.calm();
+    world.run();
+    world.checker().end_served();
+    EXPECT_TRUE(world.checker().violations().empty()) << seed << " " << world.checker().summary();
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty()) << seed;
+    EXPECT_EQ(world.malformed_answers(), 0U);
+  }
+}
+
+const LooksScene kLooks[] = {
+    {"WithNoOtherTrouble", [](World&, std::uint64_t) {}},
+    {"WhileOnlyAnswersOfTheStateServiceAreLost",
+     [](World& w, std::uint64_t) { w.late_writes(0.5, 6'000, true); }},
+    {"WhileTheLeaderHasLostTheOthersAndItsWritesLag",
+     [](World& w, std::uint64_t seed) {
+       const std::size_t lead = leader_of(w);
+       for (std::size_t i = 0; i < 3; ++i)
+         if (i != lead) w.cut(node_name(lead), node_name(i), 6'000, seed % 2 == 0);
+       w.late_writes(0.5, 6'000, seed % 3 == 0);
+     }},
+    {"WhileTheLeaderIsIsolatedWithItsWorkersAndUsers",
+     [](World& w, std::uint64_t seed) {
+       w.isolate(leader_of(w), 8'000, seed % 2 == 0);
+       w.cancel_now(3, 0);
+     }},
+    {"WhileTheStateServiceRefusesTheLeader",
+     [](World& w, std::uint64_t) {
+       w.refuse_state(leader_of(w), 5'000);
+       w.cancel_now(3, 0);
+     }},
+    {"WhileTheLeaderStandsStill",
+     [](World& w, std::uint64_t seed) {
+       w.freeze(leader_of(w), 1'000 + static_cast<Time>(seed) * 500);
+     }},
+    {"WhileASiblingStandsStill",
+     [](World& w, std::uint64_t seed) {
+       w.freeze((leader_of(w) + 1) % 3, 1'000 + static_cast<Time>(seed) * 500);
+       w.refuse_state(leader_of(w), 4'000);
+     }},
+    {"WhileTheLeaderEnds",
+     [](World& w, std::uint64_t seed) { w.kill(leader_of(w), seed % 2 == 0 ? 300 : 5'000); }},
+};
+
+INSTANTIATE_TEST_SUITE_P(Scenes, Looks, ::testing::ValuesIn(kLooks),
+                         [](const auto& p) { return std::string(p.param.name); });
+
+// A sibling passes an answer of the leader's on only while it may still be said: not after the time
+// that came with it, reckoned from when the request left, and not after its own patience; however
+// long the answer was on its way, or the sibling stood still with the answer in its buffer.
+TEST(Answers, AForwardedAnswerThatIsLateIsNotPassedOn) {
+  const auto answered = [](Time after, std::optional<std::uint32_t> valid_ms) {
+    Core core(sample_settings(0), Options{}, 1);
+    Time now = 1'000'000;
+    const auto step = [&](Input input) { return core.step({now, 0}, std::move(input)); };
+    step(Tick{});
+    PeerInput beat;
+    beat.message.kind = PeerMessage::Kind::Beat;
+    beat.message.beat.node = "node-1";
+    beat.message.beat.epoch = 3;
+    beat.message.beat.leading = true;
+    beat.message.beat.life = 9;
+    step(beat);
+    std::uint64_t call = 0;
+    for (const Action& a :
+         step(UserRequest{{Origin::Kind::Local, 5, 0}, UserOp::Query, "job-1", ""}))
+      if (const auto* peer = std::get_if<SendPeer>(&a)) call = peer->message.request.call;
+    EXPECT_NE(call, 0U);
+    now += after;
+    PeerInput answer;
+    answer.message.kind = PeerMessage::Kind::Answer;
+    answer.message.answer = {call, 200, 0, valid_ms, "{}"};
+    bool passed_on = false;
+    for (const Action& a : step(answer))
+      if (const auto* said = std::get_if<Answer>(&a)) passed_on = said->status == 200;
+    return passed_on;
+  };
+  EXPECT_TRUE(answered(5, 2'000));
+  EXPECT_TRUE(answered(5, {}));
+  EXPECT_FALSE(answered(150, 100));
+  EXPECT_FALSE(answered(5, 0));
+  EXPECT_FALSE(answered(4'000, 60'000));
+}
+
+// What a value held that can't be read is unknown, never missing: its jobs get 503, and new ones
+// aren't taken, since they may be old ones; what could be read is served on.
+TEST(Answers, AnUnreadableValueIsUnknownNotMissing) {
+  DayPlan plan = quiet(31);
+  World world(plan);
+  world.run_until(1'000);
+  constexpr std::size_t kJobs = 60;
+  for (std::size_t n = 0; n < kJobs; ++n) {
+    JobSpec s = service(job_id(n), 1);
+    s.need = {0.1, 0.05, 1};
+    world.submit(s);
+  }
+  world.run_until(40'000);
+  ASSERT_TRUE(world.state().spoil("sr/s/000000"));
+  world.kill(leader_of(world), 6'000);
+  world.run_until(50'000);
+  std::map<int, int> polls, submissions;
+  for (std::size_t n = 0; n < kJobs; ++n)
+    for (std::size_t node = 0; node < 3; ++node) {
+      world.ask_for(job_id(n), node, UserOp::Query, [&](int s) { ++polls[s]; });
+      world.ask_for(job_id(n), node, UserOp::Submit, [&](int s) { ++submissions[s]; });
+    }
+  world.run_until(54'000);
+  EXPECT_EQ(polls[404], 0);
+  EXPECT_GT(polls[503], 0);
+  EXPECT_GT(polls[200], 0);
+  EXPECT_EQ(submissions[201], 0);
+  EXPECT_EQ(world.state().value_of("sr/s/000000"), "gibberish") << "it was written over";
+  world.run();
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
 }  // namespace
 }  // namespace sailreel::sim
--- /dev/null
+++ b/tests/capacity_test.cpp
@@ -0,0 +1,175 @@
+// More work than room, swarms of small jobs, and machines or zones that are lost or half out of
+// reach: the rules hold, and once the troubles are over nothing is left waiting.
+#include <gtest/gtest.h>
+
+#include "sim/scenes.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+void expect_served(World& world, std::uint64_t seed) {
+  world.checker().end_served();
+  EXPECT_TRUE(world.checker().violations().empty())
+      << "seed " << seed << " " << world.checker().summary();
+  EXPECT_TRUE(world.checker().unfinished_arrays().empty()) << "seed " << seed;
+  EXPECT_EQ(world.malformed_answers(), 0U);
+  EXPECT_EQ(world.state().malformed, 0U);
+}
+
+// Meeting: one-task jobs come four a second for minutes, a quarter of them cancelled; the leader
+// ends in the middle of it.
+TEST(Capacity, OneTaskJobsFourASecondForMinutes) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    DayPlan plan = quiet(seed + 200);
+    plan.length = 340'000;
+    World world(plan);
+    world.run_until(1'000);
+    world.close_looks(200'000);
+    world.cancel_at_end(0.05, 200'000);
+    pcg32 random(seed);
+    for (std::size_t n = 0; n < 640; ++n) {
+      JobSpec s = array(job_id(n), 1, 2 + random(12));
+      s.team = n % 3 == 0 ? "blue" : "red";
+      s.image = "img-" + std::to_string(random(3));
+      world.submit(s, random(4) == 0 ? world.now() + 500 + random(9'000) : 0);
+      world.run_until(world.now() + 250);
+      if (n == 200 || n == 420) world.kill(leader_of(world), n == 200 ? 400 : 6'000);
+      if (n == 300) world.late_writes(0.4, 8'000, seed % 2 == 0);
+    }
+    world.run_until(200'000);
+    world.calm();
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
+// Meeting: more work than room, urgent and not, over slow links; the largest arrays have to begin
+// all the same.
+TEST(Capacity, MoreWorkThanRoomOverSlowLinks) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    DayPlan plan = quiet(seed + 300);
+    plan.length = 620'000;
+    plan.loss = 0.03;
+    plan.late_copies = 0.05;
+    World world(plan);
+    world.run_until(1'000);
+    world.submit(array("job-9000", 60, 8));  // more than the fleet takes
+    for (std::size_t n = 0; n < 90; ++n) {
+      JobSpec s = n % 3 == 0 ? service(job_id(n), 2)
+                             : array(job_id(n), 1 + static_cast<std::uint32_t>(n % 8), 12);
+      s.team = n % 4 == 0 ? "blue" : "red";
+      s.priority = n % 3 == 0 ? static_cast<Priority>(n % 2) : Priority::Low;
+      s.image = "img-" + std::to_string(n % 4);
+      world.submit(s, s.kind == JobKind::Service ? world.now() + 60'000 : 0);
+      world.run_until(world.now() + 1'200);
+      if (n % 30 == 20) world.slow_commands(10'000);
+      if (n == 50) world.kill(leader_of(world), 1'000);
+    }
+    world.run_until(200'000);
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
+// Meeting: jobs bound to one zone, arrays and gangs of replicas too, lose machines of it.
+TEST(Capacity, JobsBoundToAZoneLoseMachines) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    DayPlan plan = quiet(seed + 400);
+    plan.length = 300'000;
+    World world(plan);
+    world.run_until(1'000);
+    world.close_looks(plan.length);
+    for (std::size_t n = 0; n < 14; ++n) {
+      JobSpec s = n % 2 == 0 ? service(job_id(n), 3) : array(job_id(n), 5, 25);
+      s.team = n % 3 == 0 ? "blue" : "red";
+      if (n % 4 < 2)
+        s.one_zone = true;
+      else
+        s.zone = n % 8 < 4 ? "za" : "zb";
+      if (n == 0) s.spread = !(s.one_zone = false);
+      world.submit(s);
+    }
+    world.run_until(40'000);
+    const auto busy = busy_machines(world);
+    for (std::size_t k = 0; k < busy.size(); k += 2) {
+      if (k % 4 == 0)
+        world.kill_machine(busy[k]);
+      else
+        world.notice_machine(busy[k], 5'000);
+      world.run_until(world.now() + 1'000);
+    }
+    if (seed % 2 == 0) world.kill(leader_of(world), 3'000);
+    world.run_until(120'000);
+    world.calm();
+    for (std::size_t n = 0; n < 14; n += 2) world.cancel(job_id(n));
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
+// Meeting: a zone with workers and a controller is cut off for longer than a lease, and jobs are
+// cancelled on both sides of the cut.
+TEST(Capacity, AZoneCutOffForLongerThanALease) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    DayPlan plan = quiet(seed + 500);
+    plan.length = 340'000;
+    plan.cancel_s = seed % 2 == 0 ? 12 : 30;
+    World world(plan);
+    world.run_until(1'000);
+    world.close_looks(plan.length);
+    crowd(world, 0, 16, seed);
+    world.run_until(50'000);
+    world.cut_zone(seed % 2 == 0 ? "za" : "zb", 13'000 + static_cast<Time>(seed) * 4'000,
+                   seed % 3 == 0);
+    for (int round = 0; round < 4; ++round) {
+      world.cancel_now(2, 0);
+      world.run_until(world.now() + 4'000);
+      if (round == 1 && seed > 3) world.kill(leader_of(world), 4'000);
+    }
+    world.run_until(150'000);
+    world.calm();
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
+// Meeting: workers can't open connections to any controller, while direct commands still reach
+// them. Answering inquiries, such a machine once looked usable again and again, and drew the work
+// that waited; a start only goes with the answer to a machine's own report.
+TEST(Capacity, AMachineThatReachesNoControllerDrawsNoWork) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    DayPlan plan = quiet(seed + 600);
+    plan.length = 260'000;
+    World world(plan);
+    world.run_until(1'000);
+    crowd(world, 0, 8, seed);
+    world.run_until(50'000);
+    std::set<std::string> mute;
+    for (const auto& m : busy_machines(world))
+      if (mute.size() < 2) mute.insert(m);
+    for (const auto& m : mute) world.mute_machine(m, 70'000);
+    if (seed % 2 == 0) world.kill(leader_of(world), 3'000);
+    world.run_until(58'000);  // they have missed their reports by now
+    for (std::size_t n = 20; n < 28; ++n) world.submit(service(job_id(n), 1), 140'000);
+    std::size_t kept = 0;
+    for (Time t = 59'000; t < 100'000; t += 500) {
+      world.run_until(t);
+      if (world.leader() < 0) continue;
+      for (const auto& [name, m] : world.core(leader_of(world))->tables().machines)
+        if (mute.contains(name))
+          for (const Placement& p : m->placements)
+            kept += p.state == PlaceState::Reserved && p.key.job >= "job-20" &&
+                            p.key.job <= "job-27" && p.key.job.size() == 6
+                        ? 1
+                        : 0;
+    }
+    EXPECT_EQ(kept, 0U) << "seed " << seed;
+    world.run_until(160'000);
+    world.calm();
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
+}  // namespace
+}  // namespace sailreel::sim
--- a/tests/sim/stand_ins.hpp
+++ b/tests/sim/stand_ins.hpp
@@ -78,6 +78,18 @@
     serve_watches(now);
   }
 
+  /// Damages a value where it lies; false if there is none.
+  bool spoil(const std::string& key) {
+    const auto it = keys_.find(key);
+    if (it == keys_.end()) return false;
+    it->second.value = "gibberish";
+    return true;
+  }
+  [[nodiscard]] std::string value_of(const std::string& key) const {
+    const auto it = keys_.find(key);
+    return it == keys_.end() ? std::string() : it->second.value;
+  }
+
   void tick(Time now) {
     expire(now);
     serve_watches(now);
