--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -350,7 +350,10 @@
 void Core::after_commit(const Job& job, const Origin& origin, int status) {
   if (round_.retries > 0) return refuse(origin, "the state service does not answer");
   if (too_many_waiting()) return refuse(origin, "too many requests at once");
-  (job.in_round ? round_.waiters : waiting_next_).push_back({origin, status, job.spec().id});
+  // The round in flight may have been sent before the last change: a cancellation was once answered
+  // "running" with the round that recorded that it had been asked for.
+  const bool with_this = job.in_round && !job.dirty;
+  (with_this ? round_.waiters : waiting_next_).push_back({origin, status, job.spec().id});
 }
 
 // While a round is in flight, or its answer was lost, another node may have read what it wrote and
@@ -364,10 +367,10 @@
 void Core::settle_job(Job& job) {
   if (job.active() || job.record.final || job.placed > 0 || job.unknown > 0) return;
   job.record.final = true;
+  touch(job);
   if (job.record.phase == Phase::Active) cancel_over(job);
   if (job.spec().tasks > kInlineBits)
     for (std::size_t i = 0; i * kPieceBits < job.spec().tasks; ++i) job.dirty_pieces.insert(i);
-  touch(job);
 }
 
 void Core::touch(Job& job) {
--- a/tests/checker_test.cpp
+++ b/tests/checker_test.cpp
@@ -129,6 +129,95 @@
   EXPECT_TRUE(only("went_back"));
 }
 
+// What was told anywhere binds answers to questions that were asked later, not those under way.
+TEST_F(CheckerTest, WentBackAtAnotherNode) {
+  checker_.cancel_asked("job-1");
+  checker_.told("job-1", "cancelled", 100, 90);
+  checker_.told("job-1", "running", 120, 95);
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.told("job-1", "running", 130, 100);
+  EXPECT_TRUE(only("went_back"));
+}
+
+TEST_F(CheckerTest, WentFromOneEndToTheOther) {
+  checker_.cancel_asked("job-1");
+  checker_.ended({"job-1", 0}, "m-1", true);
+  checker_.ended({"job-1", 1}, "m-1", true);
+  checker_.told("job-1", "done", 100, 90);
+  checker_.told("job-1", "cancelled", 120, 80);
+  EXPECT_TRUE(only("went_back"));
+}
+
+TEST_F(CheckerTest, ForgottenAtAnotherNode) {
+  checker_.told("job-1", "pending", 100, 90);
+  checker_.refused("job-1", 404, true, 95);
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.refused("job-1", 404, true, 101);
+  EXPECT_TRUE(only("forgotten"));
+}
+
+TEST_F(CheckerTest, ForgottenOnceTroublesAreOver) {
+  checker_.told("job-1", "pending", 0);
+  checker_.calm(100'000);
+  checker_.unanswered("job-1", 170'000);
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.unanswered("job-1", 176'000);
+  EXPECT_TRUE(only("forgotten"));
+}
+
+TEST_F(CheckerTest, StartedCancelled) {
+  checker_.cancel_asked("job-1");
+  checker_.start_taken("job-1");
+  checker_.told("job-1", "cancelled", 100);
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.start_taken("job-1");
+  EXPECT_TRUE(only("started_cancelled"));
+}
+
+TEST_F(CheckerTest, LeftWaiting) {
+  checker_.waiting("job-1", true, 0);
+  checker_.waiting("job-1", true, 200'000);
+  EXPECT_TRUE(checker_.violations().empty()) << "troubles aren't over";
+  checker_.calm(200'000);
+  checker_.waiting("job-1", true, 201'000);
+  checker_.waiting("job-1", false, 280'000);
+  checker_.waiting("job-1", true, 281'000);
+  checker_.waiting("job-1", true, 371'000);
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.waiting("job-1", true, 372'000);
+  EXPECT_TRUE(only("left_waiting"));
+}
+
+TEST_F(CheckerTest, AcceptedUnfit) {
+  checker_.accepted_unfit("job-9");
+  EXPECT_TRUE(only("accepted_unfit"));
+}
+
+TEST_F(CheckerTest, OddAnswerToACancellation) {
+  checker_.cancel_answered("job-1", "cancelled");
+  checker_.cancel_answered("job-1", "done");
+  EXPECT_TRUE(checker_.violations().empty());
+  checker_.cancel_answered("job-1", "running");
+  EXPECT_TRUE(only("odd_answer"));
+}
+
+TEST_F(CheckerTest, NotServed) {
+  checker_.told("job-1", "pending", 0);
+  checker_.started({"job-1", 0}, a_, 10);
+  checker_.end_served();
+  // An array that began and never ended: of its class, its team and the largest.
+  EXPECT_TRUE(only("not_served"));
+  EXPECT_EQ(checker_.violations().at("not_served").size(), 3U);
+}
+
+TEST_F(CheckerTest, LateLargest) {
+  again([](JobSpec& s) { s.kind = JobKind::Service; });
+  checker_.told("job-1", "pending", 0);
+  checker_.started({"job-1", 0}, a_, 240'001);
+  checker_.end_served();
+  EXPECT_TRUE(only("late_largest"));
+}
+
 TEST_F(CheckerTest, NothingRan) {
   checker_.end();
   EXPECT_TRUE(only("nothing_ran"));
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -67,6 +67,11 @@
   void calm(Time now) { calm_since_ = now; }
   [[nodiscard]] bool is_calm() const { return calm_since_ != kNever; }
 
+  /// A cancellation was answered 200: that says cancelled or done, and nothing else.
+  void cancel_answered(const std::string& id, const std::string& state) {
+    if (state != "cancelled" && state != "done") broken("odd_answer", id + " is " + state);
+  }
+
   /// A job that can't run, or whose submission lacks a field, was accepted.
   void accepted_unfit(const std::string& id) { broken("accepted_unfit", id); }
 
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -109,6 +109,7 @@
       ++malformed_;
     } else {
       const bool first = !u.accepted;
+      if (op == UserOp::Cancel) checker_.cancel_answered(u.spec.id, state);
       u.accepted = true;
       checker_.told(u.spec.id, state, now_, u.asked);
       const bool ended = !u.over && (state == "done" || state == "cancelled");
@@ -135,6 +136,7 @@
   if (op == UserOp::Cancel) checker_.cancel_asked(id);
   request(node, op, id, body, [=, this](int status, const std::string& text) {
     if (then) then(status);
+    if (op == UserOp::Cancel && accepted(status)) checker_.cancel_answered(id, heading_of(text));
     if (accepted(status))
       checker_.told(id, heading_of(text), now_, asked);
     else if (status == 404 || status == 400 || status == 422)
