A job with a mistake is told from a faulty machine, and starts again one task at a time

Cause: two jobs that fail everywhere had any machine returned as faulty on which both were tried, and all tasks of such a job came back after a report's interval or a few, taking room and starts from others. A machine is faulty now when two jobs failed there that run elsewhere; until that is known it gets no work. Capacity.MistakenJobsAreToldFromFaultyMachines fails with either half taken out.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -243,6 +243,8 @@
   void session_lost(Machine& m, const char* why);
   void take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen);
   void task_exited(Machine& m, Placement& p);
+  void task_failed(Job& job, Machine& m);
+  void judge(Machine& m);
   std::vector<Command> commands_for(Machine& m, std::uint64_t report_seq);
   void machine_tick();
   [[nodiscard]] Time silent_after() const;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -83,7 +83,10 @@
       job->guaranteed = job->team->within_guarantee(total);
     }
     // A team that the settings no longer name has no queue.
-    if (job->team != nullptr && job->queued > 0 && job->not_before <= clock_.now)
+    if (job->team == nullptr || job->queued == 0) continue;
+    if (job->not_before > clock_.now)
+      placement_dirty_ = true;  // looked at again by a later pass
+    else
       waiting[static_cast<std::size_t>(s.priority)].push_back(job);
   }
   return waiting;
@@ -169,6 +172,8 @@
           if (p.job == &job && p.held && !p.stop) stop_task(p, grace_for(job));
     return false;
   }
+  // Of a job that is likely to be a mistake, one task at a time shows whether it still fails.
+  if (job.suspect() && !gang && job.placed > 0) return true;
   Choice at_once(*this, job, gang), queued(*this, job, true);
   // A gang's tasks find each other by their attempt, which they share.
   const std::uint64_t attempt = gang ? attempt_number() : 0;
@@ -216,6 +221,7 @@
       job.record.started = i + 1;
       touch(job);
     }
+    if (job.suspect() && !gang) return true;
   }
   if (left == 0) return true;
   note_unmet(job.spec(), *team, left);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -282,6 +282,7 @@
   }
   Task& task = job->tasks[p.key.index];
   if (p.cause == ExitCause::Done && job->spec().kind != JobKind::Service) {
+    job->proven = true;
     if (task.state == TaskState::Done && !was_held) {
       // Known already: either committed, or in a round to come that settles it.
       p.settled = job->record.done.test(p.key.index) && !job->dirty;
@@ -299,12 +300,8 @@
   p.settled = true;
   switch (p.cause) {
     case ExitCause::Error:
-      ++job->errors;
-      job->error_machines.insert(m.name);
-      m.error_jobs.insert(job->spec().id);
-      // A job submitted with a mistake fails everywhere; a faulty machine fails several jobs.
+      task_failed(*job, m);
       task.not_before = now + std::min<Time>(report_interval() * job->errors, worker_lease());
-      if (m.error_jobs.size() >= kFaultyJobs && !m.draining) drain(m, "faulty");
       log(Log::Level::Info, "event=task_error machine=", m.name, " task=", p.key.job, "/",
           p.key.index, " errors=", job->errors);
       break;
@@ -322,6 +319,48 @@
   settle_job(*job);
 }
 
+// A job submitted with a mistake fails everywhere; a faulty machine fails several jobs that run
+// elsewhere. Two jobs with a mistake once had every machine returned that they came to.
+void Core::task_failed(Job& job, Machine& m) {
+  ++job.errors;
+  job.error_machines.insert(m.name);
+  if (!job.suspect()) {
+    m.error_jobs.insert(job.spec().id);
+  } else {
+    for (const std::string& name : job.error_machines)
+      if (Machine* other = tables_.machine(name)) other->error_jobs.erase(job.spec().id);
+    // One task at a time tries again, and ever more seldom: what fails at once and comes back at
+    // once takes room, images and starts from work that runs.
+    job.not_before =
+        clock_.now + std::min<Time>(report_interval() * job.errors, 2 * worker_lease());
+  }
+  judge(m);
+}
+
+// A machine is faulty when several jobs failed on it that run elsewhere. Until that is known of
+// them, it gets no work.
+void Core::judge(Machine& m) {
+  if (m.draining || m.error_jobs.size() < kFaultyJobs) return;
+  const auto runs_elsewhere = [&](const std::string& id) {
+    Job* job = tables_.job(id);
+    if (job == nullptr)
+      return tables_.finished.contains(id) && tables_.finished.at(id).phase == Phase::Done;
+    if (job->proven) return true;
+    for (const Task& t : job->tasks)
+      if (t.machine != nullptr && t.machine != &m)
+        for (const Placement& p : t.machine->placements)
+          job->proven = job->proven || (p.job == job && p.state == PlaceState::Running &&
+                                        clock_.now - p.running_since > 5 * report_interval());
+    return job->proven;
+  };
+  const auto proven = static_cast<std::size_t>(
+      std::count_if(m.error_jobs.begin(), m.error_jobs.end(), runs_elsewhere));
+  if (proven >= kFaultyJobs)
+    drain(m, "faulty");
+  else if (clock_.now >= m.shunned_until)
+    shun(m, "errors");
+}
+
 std::vector<Command> Core::commands_for(Machine& m, std::uint64_t report_seq) {
   std::vector<Command> out;
   // Stops and forgets come before starts: they make the room that the starts were promised.
@@ -428,6 +467,7 @@
         release(m, "not heard since take-over");
       continue;
     }
+    if (!m.error_jobs.empty()) judge(m);
     if (!m.silent && now - m.heard > silent_after()) {
       m.silent = true;
       m.silent_since = now;
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -56,6 +56,7 @@
   std::map<std::string, std::uint32_t> per_zone;  // placed tasks
   std::set<std::string> error_machines;
   std::uint32_t errors = 0;
+  bool proven = false;  // a task of it has run as it should
   Time not_before = 0;
 
   [[nodiscard]] const JobSpec& spec() const { return record.spec; }
@@ -63,6 +64,9 @@
   [[nodiscard]] bool in_doubt() const { return in_round && round_phase != committed_phase; }
   /// To be served on.
   [[nodiscard]] bool active() const { return record.phase == Phase::Active && !cancelling; }
+  /// It has failed on several machines and run on none: more likely it is submitted with a mistake
+  /// than that all of these are faulty.
+  [[nodiscard]] bool suspect() const { return !proven && error_machines.size() > 1; }
   /// How many tasks may be in one zone.
   [[nodiscard]] std::uint32_t zone_cap() const {
     return spec().spread ? (spec().tasks + 1) / 2 : spec().tasks;
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -71,6 +71,54 @@
   }
 }
 
+// On the operations sites: jobs that fail on every machine until their users call them off. They
+// neither have machines returned as faulty, nor take room from others by starting again at once; a
+// machine on which everything fails is returned all the same.
+TEST(Capacity, MistakenJobsAreToldFromFaultyMachines) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    DayPlan plan = quiet(seed + 700);
+    plan.length = 260'000;
+    World world(plan);
+    world.run_until(1'000);
+    crowd(world, 0, 12, seed);
+    world.run_until(45'000);
+    const auto before = busy_machines(world);
+    const std::set<std::string> healthy(before.begin(), before.end());
+    std::size_t starts = 0, others = 0;
+    world.on_command = [&](const std::string&, const Command& c) {
+      if (c.op != Command::Op::Start) return;
+      ++(c.key.job.starts_with("job-3") && c.key.job.size() == 6 ? starts : others);
+    };
+    for (std::size_t n = 30; n < 34; ++n)
+      world.submit_mistaken(n % 2 == 0 ? service(job_id(n), 2) : array(job_id(n), 8, 20), 125'000);
+    world.run_until(125'000);
+    const Tables& tables = world.core(leader_of(world))->tables();
+    for (const auto& name : healthy)
+      if (const auto it = tables.machines.find(name); it != tables.machines.end()) {
+        EXPECT_FALSE(it->second->draining && it->second->drain_cause == "faulty")
+            << seed << " " << name;
+      }
+    // 20 tasks in 80 s: each fails once at first, and after that one of each job now and then.
+    EXPECT_LE(starts, 70U) << seed;
+    EXPECT_GT(starts, 20U) << seed;
+    world.run_until(140'000);
+    for (std::size_t n = 30; n < 34; ++n)
+      EXPECT_TRUE(tables.finished.contains(job_id(n))) << seed << " " << n;
+    const auto busy = busy_machines(world);
+    ASSERT_FALSE(busy.empty());
+    const std::string bad = busy.front();
+    world.make_faulty(bad);
+    for (std::size_t n = 40; n < 56; ++n) {
+      world.submit(array(job_id(n), 2, 6));
+      world.run_until(world.now() + 2'000);
+    }
+    world.run_until(215'000);
+    EXPECT_FALSE(world.core(leader_of(world))->tables().machines.contains(bad)) << seed;
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty()) << seed;
+    EXPECT_TRUE(world.checker().violations().empty()) << seed << " " << world.checker().summary();
+  }
+}
+
 // Meeting: jobs bound to one zone, arrays and gangs of replicas too, lose machines of it.
 TEST(Capacity, JobsBoundToAZoneLoseMachines) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -98,7 +98,10 @@
                [this, id = u->spec.id] { call_off(by_job_.at(id)); });
         }
       }
-      if (r.state == RunState::Running && t.done_at > 0 && now_ >= t.done_at) {
+      if (r.state == RunState::Running && now_ >= t.image_at + 300 &&
+          (mistaken_.contains(r.key.job) || faulty_.contains(name))) {
+        end(ExitCause::Error);
+      } else if (r.state == RunState::Running && t.done_at > 0 && now_ >= t.done_at) {
         w.done.insert(r.key.job + "/" + std::to_string(r.key.index));
         end(ExitCause::Done);
         completed(r.key);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -88,6 +88,13 @@
   /// Repeated submissions, cancellations of jobs that are done, jobs that can't run or lack a
   /// field, and questions about jobs that nobody submitted.
   void odd_requests(Time for_ms);
+  /// The job fails wherever it runs, until its user calls it off.
+  void submit_mistaken(const JobSpec& spec, Time cancel_at) {
+    mistaken_.insert(spec.id);
+    submit(spec, cancel_at);
+  }
+  /// Whatever runs there fails.
+  void make_faulty(const std::string& machine) { faulty_.insert(machine); }
   /// All troubles are over: from now on nothing may be left waiting or unanswered.
   void calm() { checker_.calm(now_); }
 
@@ -228,6 +235,7 @@
   Share late_writes_, lost_answers_, for_next_, late_reports_, cancel_at_end_, slow_commands_;
   Time close_looks_until_ = 0;
   std::vector<std::string> kept_reports_;
+  std::set<std::string> mistaken_, faulty_;
   std::uint64_t copied_epoch_ = 0;
   std::uint64_t next_odd_ = 1;
   std::uint64_t next_call_ = 1;
