--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -194,9 +194,10 @@
 
   void peer_message(std::uint64_t link, PeerMessage m) {
     switch (m.kind) {
-      case PeerMessage::Kind::Beat:
+      case PeerMessage::Kind::Heartbeat:
         for (std::size_t i = 0; i < settings_.siblings.size(); ++i)
-          if (settings_.siblings[i].name == m.beat.node) return feed(PeerInput{i, std::move(m)});
+          if (settings_.siblings[i].name == m.heartbeat.node)
+            return feed(PeerInput{i, std::move(m)});
         return;
       case PeerMessage::Kind::Request: {
         const Origin origin{Origin::Kind::Peer, link, m.request.call};
--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -23,7 +23,7 @@
                     settings_.store.write_rps * options.state_share),
       cloud_budget_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
       sibling_views_(settings_.siblings.size()),
-      life_((std::uint64_t{random_()} << 32) | random_() | 1) {
+      incarnation_((std::uint64_t{random_()} << 32) | random_() | 1) {
   nonce_ = (std::uint64_t{random_()} << 20) ^ random_();
 }
 
@@ -48,8 +48,8 @@
         } else if constexpr (std::is_same_v<T, WorkerAnswer>) {
           worker_answer(in);
         } else if constexpr (std::is_same_v<T, PeerInput>) {
-          if (in.message.kind == PeerMessage::Kind::Beat)
-            peer_beat(in.sibling, in.message.beat);
+          if (in.message.kind == PeerMessage::Kind::Heartbeat)
+            peer_heartbeat(in.sibling, in.message.heartbeat);
           else if (in.message.kind == PeerMessage::Kind::Answer)
             peer_answer(in.sibling, in.message.answer);
         } else if constexpr (std::is_same_v<T, PeerLost>) {
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -58,7 +58,7 @@
 };
 struct PeerInput {
   std::size_t sibling = 0;
-  PeerMessage message;  // a beat or an answer; requests come as UserRequest or WorkerReport
+  PeerMessage message;  // a heartbeat or an answer; requests come as UserRequest or WorkerReport
 };
 struct PeerLost {
   std::size_t sibling = 0;
@@ -179,8 +179,8 @@
   void step_down(const char* why);
   void revoke(std::uint64_t lease);
   void abdicate();
-  void peer_beat(std::size_t sibling, const PeerBeat& beat);
-  void send_beats();
+  void peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat);
+  void send_heartbeats();
   [[nodiscard]] int leader_sibling() const;  // -1: unknown, or ourselves
 
   // intake.cpp
@@ -239,7 +239,7 @@
   bool take_report(const Report& report, bool direct);
   void drop(Machine& m, std::size_t index);
   void drop_unsent(Machine& m);
-  void shun(Machine& m, const char* why);
+  void quarantine(Machine& m, const char* why);
   void session_lost(Machine& m, const char* why);
   void take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen);
   void task_exited(Machine& m, Placement& p);
@@ -262,10 +262,10 @@
     Time heard = -kNever;
     bool leading = false, hears_leader = false, holding = false, hears_workers = false;
     std::uint64_t epoch = 0;
-    std::uint64_t life = 0;   // 0: never heard
-    Time clock = 0;           // its own, at its latest beat
-    Time echo_at = -kNever;   // when the latest of our beats left that it had by then
-    Time alone_at = -kNever;  // when it last kept tasks alive by itself, at the latest
+    std::uint64_t incarnation = 0;  // 0: never heard
+    Time clock = 0;                 // its own, at its latest heartbeat
+    Time echo_at = -kNever;         // when the latest of our heartbeats left that it had by then
+    Time alone_at = -kNever;        // when it last kept tasks alive by itself, at the latest
   };
   [[nodiscard]] Time keep_span() const;
   [[nodiscard]] Time contact_span() const;
@@ -274,7 +274,7 @@
   void may_keep(std::uint64_t epoch, Time until);
   [[nodiscard]] Time siblings_answered() const;
   [[nodiscard]] Time expiry(const Machine& m) const;
-  void hand_on(const WorkerReport& in);
+  void forward_report(const WorkerReport& in);
   bool steer(const WorkerReport& in);
   [[nodiscard]] bool was_sent_away(const std::string& machine, Time within) const;
   void send_away(const Origin& origin, const std::string& machine, std::size_t sibling);
@@ -415,10 +415,10 @@
   Time watch_retry_ = 0, campaign_at_ = kNever;
   Time stand_back_until_ = 0;  // after an abdication
   std::string leader_name_;
-  Time next_beat_ = 0;
+  Time next_heartbeat_ = 0;
   std::vector<SiblingView> sibling_views_;
   Time last_path_ = 0;
-  const std::uint64_t life_;  // of this process
+  const std::uint64_t incarnation_;  // of this process
 
   // keeping workers' tasks alive by ourselves: under which token, until when, and when we last did
   std::uint64_t keep_epoch_ = 0;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -11,7 +11,7 @@
 
 void Core::election_tick() {
   const Time now = clock_.now;
-  if (now >= next_beat_) send_beats();
+  if (now >= next_heartbeat_) send_heartbeats();
   if (role_ == Role::Leader || role_ == Role::Loading) {
     if (in_command(now)) last_path_ = now;
     if (!renewing_ && now >= next_renew_) renew();
@@ -265,7 +265,7 @@
   releasing_ = listing_ = false;
   rebuilding_ = false;
   tables_.clear();
-  send_beats();
+  send_heartbeats();
 }
 
 void Core::revoke(std::uint64_t lease) {
@@ -286,55 +286,57 @@
   step_down("no worker is heard");
 }
 
-void Core::peer_beat(std::size_t sibling, const PeerBeat& beat) {
+void Core::peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat) {
   SiblingView& v = sibling_views_[sibling];
   const Time now = clock_.now;
-  if (beat.life != v.life) {
-    // What its former life may have kept alive until it ended isn't in the new one's beats.
-    if (v.life != 0) v.alone_at = std::max(v.alone_at, std::min(now, v.heard + keep_span()));
-    v.life = beat.life;
-  } else if (beat.clock < v.clock) {
+  if (heartbeat.incarnation != v.incarnation) {
+    // What its former incarnation may have kept alive until it ended isn't in the new one's
+    // heartbeats.
+    if (v.incarnation != 0) v.alone_at = std::max(v.alone_at, std::min(now, v.heard + keep_span()));
+    v.incarnation = heartbeat.incarnation;
+  } else if (heartbeat.clock < v.clock) {
     return;  // an older one, over another connection
   }
-  v.clock = beat.clock;
+  v.clock = heartbeat.clock;
   v.heard = now;
-  v.leading = beat.leading;
-  v.epoch = beat.epoch;
-  v.hears_leader = beat.hears_leader;
-  v.holding = beat.holding;
-  v.hears_workers = beat.hears_workers;
-  if (beat.alone_ms) v.alone_at = std::max(v.alone_at, now - Time{*beat.alone_ms});
-  if (beat.heard_life == life_) {
-    v.echo_at = std::max(v.echo_at, Time{beat.heard_clock});
-    if (beat.leading) may_keep(beat.epoch, beat.heard_clock + Time{beat.keep_ms});
+  v.leading = heartbeat.leading;
+  v.epoch = heartbeat.epoch;
+  v.hears_leader = heartbeat.hears_leader;
+  v.holding = heartbeat.holding;
+  v.hears_workers = heartbeat.hears_workers;
+  if (heartbeat.alone_ms) v.alone_at = std::max(v.alone_at, now - Time{*heartbeat.alone_ms});
+  if (heartbeat.heard_incarnation == incarnation_) {
+    v.echo_at = std::max(v.echo_at, Time{heartbeat.heard_clock});
+    if (heartbeat.leading)
+      may_keep(heartbeat.epoch, heartbeat.heard_clock + Time{heartbeat.keep_ms});
   }
-  if (role_ == Role::Leader && beat.leading && beat.epoch > epoch_)
+  if (role_ == Role::Leader && heartbeat.leading && heartbeat.epoch > epoch_)
     step_down("a sibling leads under a higher epoch");
   else if (role_ == Role::Follower)
-    epoch_ = std::max(epoch_, beat.epoch);
+    epoch_ = std::max(epoch_, heartbeat.epoch);
 }
 
-void Core::send_beats() {
+void Core::send_heartbeats() {
   const Time now = clock_.now;
-  next_beat_ = now + worker_lease() / 30;
+  next_heartbeat_ = now + worker_lease() / 30;
   PeerMessage m;
-  m.kind = PeerMessage::Kind::Beat;
-  PeerBeat& b = m.beat;
+  m.kind = PeerMessage::Kind::Heartbeat;
+  PeerHeartbeat& b = m.heartbeat;
   b.node = settings_.name;
   b.epoch = epoch_;
   b.leading = in_command(now);
   b.hears_leader = leader_sibling() >= 0;
   b.holding = role_ == Role::Leader && now < lease_deadline_ + keep_span();
   b.hears_workers = now - worker_heard_ < silent_after();
-  b.life = life_;
+  b.incarnation = incarnation_;
   b.clock = now;
   if (alone_at_ >= 0)
     b.alone_ms = static_cast<std::uint32_t>(std::min<Time>(now - alone_at_, UINT32_MAX));
   for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
     const SiblingView& v = sibling_views_[i];
-    b.heard_life = v.life;
+    b.heard_incarnation = v.incarnation;
     b.heard_clock = v.clock;
-    b.keep_ms = b.leading && v.life != 0 ? static_cast<std::uint32_t>(keep_span()) : 0;
+    b.keep_ms = b.leading && v.incarnation != 0 ? static_cast<std::uint32_t>(keep_span()) : 0;
     out_.push_back(SendPeer{i, m});
   }
 }
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -17,8 +17,8 @@
 
 Time Core::keep_span() const { return kKeepLeases * worker_lease(); }
 
-// Beats come a thirtieth of a lease apart; a sibling whose echo of ours is older than this may have
-// lost us.
+// Heartbeats come a thirtieth of a lease apart; a sibling whose echo of ours is older than this may
+// have lost us.
 Time Core::contact_span() const { return worker_lease() / 10; }
 
 bool Core::in_contact(const SiblingView& v) const {
@@ -37,12 +37,12 @@
 }
 
 // The latest moment at which a sibling may have answered a report by itself, as far as it matters:
-// one that had our beat within the contact span said when it last did; one that we have lost may go
-// on for as long as our last answer to its beats allowed.
+// one that had our heartbeat within the contact span said when it last did; one that we have lost
+// may go on for as long as our last answer to its heartbeats allowed.
 Time Core::siblings_answered() const {
   Time latest = -kNever;
   for (const SiblingView& v : sibling_views_) {
-    if (v.life == 0) continue;
+    if (v.incarnation == 0) continue;
     latest = std::max(latest, v.alone_at);
     if (clock_.now - v.echo_at > contact_span())
       latest = std::max(latest, v.heard + surely(keep_span()));
@@ -62,7 +62,7 @@
 
 // A report to a node that doesn't lead. It is handed on, not sent away: a worker that can't reach
 // the leader itself, as when two zones are apart, lost its tasks while it was sent to and fro.
-void Core::hand_on(const WorkerReport& in) {
+void Core::forward_report(const WorkerReport& in) {
   if (in.origin.kind == Origin::Kind::Peer)
     return answer(in.origin, 503, encode_error("no leader"));
   int sibling = leader_sibling();
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -14,7 +14,7 @@
   // A start goes with the answer to a machine's own report. One that answers inquiries, but reaches
   // no controller itself, once drew the work that waited again and again.
   return m.reported && m.sized && !m.draining && !m.releasing && !m.silent &&
-         clock_.now >= m.shunned_until && clock_.now - m.came <= silent_after();
+         clock_.now >= m.quarantined_until && clock_.now - m.came <= silent_after();
 }
 
 Resources Core::room_beside(const Promises& promised, const Machine& m) {
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -107,7 +107,7 @@
   log(Log::Level::Info, "event=leading jobs=", tables_.jobs.size(),
       " finished=", tables_.finished.size(), " machines=", tables_.machines.size(),
       " after_ms=", now - led_since_);
-  send_beats();
+  send_heartbeats();
   rebuild_tick();
 }
 
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -21,7 +21,7 @@
   const Time now = clock_.now;
   const Report& r = in.report;
   if (in.origin.kind == Origin::Kind::Local) worker_heard_ = now;
-  if (role_ != Role::Leader) return hand_on(in);
+  if (role_ != Role::Leader) return forward_report(in);
   if (r.token > epoch_) {
     step_down("a worker has seen a higher token");
     return answer(in.origin, 421, encode_redirect({}));
@@ -86,9 +86,9 @@
   } else if (r.session > m.session) {
     // Its lease ran out although we heard it all the time and answered: it doesn't hear us. Until
     // it has proved otherwise for a while, work given to it would only wait. Reports that a cut
-    // held back and let go at its end prove nothing: they once had half a fleet shunned.
+    // held back and let go at its end prove nothing: they once had half a fleet quarantined.
     if (now - m.answered < worker_lease() / 2 && now - m.steady_since > worker_lease())
-      shun(m, "deaf");
+      quarantine(m, "deaf");
     session_lost(m, "new session");
   }
   if (m.address != r.address) {
@@ -128,7 +128,7 @@
       if (p.sends < kMaxSends) continue;
       log(Log::Level::Info, "event=start_not_taken machine=", m.name, " task=", p.key.job, "/",
           p.key.index);
-      shun(m, "starts not taken");
+      quarantine(m, "starts not taken");
     } else if (p.state != PlaceState::Exited) {
       log(Log::Level::Info, "event=task_vanished machine=", m.name, " task=", p.key.job, "/",
           p.key.index, " attempt=", p.attempt);
@@ -162,9 +162,9 @@
   placement_dirty_ = true;
 }
 
-void Core::shun(Machine& m, const char* why) {
-  m.shunned_until = clock_.now + 2 * worker_lease();
-  log(Log::Level::Info, "event=shun machine=", m.name, " cause=\"", why, "\"");
+void Core::quarantine(Machine& m, const char* why) {
+  m.quarantined_until = clock_.now + 2 * worker_lease();
+  log(Log::Level::Info, "event=quarantine machine=", m.name, " cause=\"", why, "\"");
 }
 
 void Core::session_lost(Machine& m, const char* why) {
@@ -357,8 +357,8 @@
       std::count_if(m.error_jobs.begin(), m.error_jobs.end(), runs_elsewhere));
   if (proven >= kFaultyJobs)
     drain(m, "faulty");
-  else if (clock_.now >= m.shunned_until)
-    shun(m, "errors");
+  else if (clock_.now >= m.quarantined_until)
+    quarantine(m, "errors");
 }
 
 std::vector<Command> Core::commands_for(Machine& m, std::uint64_t report_seq) {
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -24,10 +24,10 @@
   std::uint16_t reserved;
   std::uint32_t length;  // of what follows
 };
-struct BeatBody {
-  std::uint64_t epoch, life;
+struct HeartbeatBody {
+  std::uint64_t epoch, incarnation;
   std::int64_t clock;
-  std::uint64_t heard_life;
+  std::uint64_t heard_incarnation;
   std::int64_t heard_clock;
   std::uint32_t keep_ms, alone_ms;
   std::uint8_t flags, reserved;
@@ -46,7 +46,7 @@
 };
 #pragma pack(pop)
 static_assert(sizeof(FrameHeader) == 12);
-static_assert(sizeof(BeatBody) == 52);
+static_assert(sizeof(HeartbeatBody) == 52);
 static_assert(sizeof(RequestBody) == 15);
 static_assert(sizeof(AnswerBody) == 20);
 
@@ -81,22 +81,22 @@
 bool parse(PeerMessage::Kind kind, std::string_view payload, PeerMessage& m) {
   m.kind = kind;
   switch (kind) {
-    case PeerMessage::Kind::Beat: {
-      BeatBody b;
+    case PeerMessage::Kind::Heartbeat: {
+      HeartbeatBody b;
       if (!take(payload, b) || b.name_length > kMaxText || payload.size() != b.name_length)
         return false;
-      m.beat.node = std::string(payload);
-      m.beat.epoch = b.epoch;
-      m.beat.leading = (b.flags & kLeading) != 0;
-      m.beat.hears_leader = (b.flags & kHearsLeader) != 0;
-      m.beat.holding = (b.flags & kHolding) != 0;
-      m.beat.hears_workers = (b.flags & kHearsWorkers) != 0;
-      m.beat.life = b.life;
-      m.beat.clock = b.clock;
-      m.beat.heard_life = b.heard_life;
-      m.beat.heard_clock = b.heard_clock;
-      m.beat.keep_ms = b.keep_ms;
-      if ((b.flags & kWasAlone) != 0) m.beat.alone_ms = b.alone_ms;
+      m.heartbeat.node = std::string(payload);
+      m.heartbeat.epoch = b.epoch;
+      m.heartbeat.leading = (b.flags & kLeading) != 0;
+      m.heartbeat.hears_leader = (b.flags & kHearsLeader) != 0;
+      m.heartbeat.holding = (b.flags & kHolding) != 0;
+      m.heartbeat.hears_workers = (b.flags & kHearsWorkers) != 0;
+      m.heartbeat.incarnation = b.incarnation;
+      m.heartbeat.clock = b.clock;
+      m.heartbeat.heard_incarnation = b.heard_incarnation;
+      m.heartbeat.heard_clock = b.heard_clock;
+      m.heartbeat.keep_ms = b.keep_ms;
+      if ((b.flags & kWasAlone) != 0) m.heartbeat.alone_ms = b.alone_ms;
       return true;
     }
     case PeerMessage::Kind::Request: {
@@ -124,17 +124,18 @@
 
 std::string encode_peer(const PeerMessage& m) {
   switch (m.kind) {
-    case PeerMessage::Kind::Beat: {
-      const PeerBeat& b = m.beat;
+    case PeerMessage::Kind::Heartbeat: {
+      const PeerHeartbeat& b = m.heartbeat;
       const auto flag = [](bool on, std::uint8_t bit) { return on ? unsigned{bit} : 0U; };
       const unsigned flags = flag(b.leading, kLeading) | flag(b.hears_leader, kHearsLeader) |
                              flag(b.holding, kHolding) | flag(b.hears_workers, kHearsWorkers) |
                              flag(b.alone_ms.has_value(), kWasAlone);
-      return frame(m.kind,
-                   BeatBody{b.epoch, b.life, b.clock, b.heard_life, b.heard_clock, b.keep_ms,
-                            b.alone_ms.value_or(0), static_cast<std::uint8_t>(flags), 0,
-                            static_cast<std::uint16_t>(b.node.size())},
-                   b.node);
+      return frame(
+          m.kind,
+          HeartbeatBody{b.epoch, b.incarnation, b.clock, b.heard_incarnation, b.heard_clock,
+                        b.keep_ms, b.alone_ms.value_or(0), static_cast<std::uint8_t>(flags), 0,
+                        static_cast<std::uint16_t>(b.node.size())},
+          b.node);
     }
     case PeerMessage::Kind::Request:
       return frame(m.kind,
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -11,16 +11,17 @@
 namespace sailreel {
 
 /// Said by every node to every other: who it is, whether it leads, and whether it hears a leader.
-/// Times are the sender's own or, echoed, the receiver's; so that an old beat is known for one.
-struct PeerBeat {
+/// Times are the sender's own or, echoed, the receiver's; so that an old heartbeat is known for
+/// one.
+struct PeerHeartbeat {
   std::string node;
   std::uint64_t epoch = 0;
   bool leading = false, hears_leader = false;
-  bool holding = false;        // led, and still answers reports, without commands
-  bool hears_workers = false;  // by itself
-  std::uint64_t life = 0;      // of the sending process; differs after a restart
+  bool holding = false;           // led, and still answers reports, without commands
+  bool hears_workers = false;     // by itself
+  std::uint64_t incarnation = 0;  // of the sending process; differs after a restart
   std::int64_t clock = 0;
-  std::uint64_t heard_life = 0;  // of the receiver's latest beat that the sender had
+  std::uint64_t heard_incarnation = 0;  // of the receiver's latest heartbeat that the sender had
   std::int64_t heard_clock = 0;
   /// From `heard_clock` on, so long the receiver may keep workers' tasks alive by itself.
   std::uint32_t keep_ms = 0;
@@ -42,8 +43,8 @@
 };
 
 struct PeerMessage {
-  enum class Kind : std::uint8_t { Beat = 1, Request = 2, Answer = 3 } kind = Kind::Beat;
-  PeerBeat beat;
+  enum class Kind : std::uint8_t { Heartbeat = 1, Request = 2, Answer = 3 } kind = Kind::Heartbeat;
+  PeerHeartbeat heartbeat;
   PeerRequest request;
   PeerAnswer answer;
 };
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -137,11 +137,11 @@
   Time probe_at = 0;
   std::uint64_t probe_session = 1;
   std::uint32_t probe_failures = 0;
-  Time probe_failed = 0;      // when the last that failed was sent
-  Time notice_until = 0;      // 0: no notice
-  Time untaken_since = 0;     // reports that don't show our token, since then
-  bool lease_passed = false;  // before it ever took our token
-  Time shunned_until = 0;     // gets no work: it doesn't hear us
+  Time probe_failed = 0;       // when the last that failed was sent
+  Time notice_until = 0;       // 0: no notice
+  Time untaken_since = 0;      // reports that don't show our token, since then
+  bool lease_passed = false;   // before it ever took our token
+  Time quarantined_until = 0;  // gets no work: it doesn't hear us
   std::set<std::string> error_jobs;
   std::vector<Placement> placements;
   std::list<CachedImage> images;  // most recently used first
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -164,13 +164,13 @@
     Time now = 1'000'000;
     const auto step = [&](Input input) { return core.step({now, 0}, std::move(input)); };
     step(Tick{});
-    PeerInput beat;
-    beat.message.kind = PeerMessage::Kind::Beat;
-    beat.message.beat.node = "node-1";
-    beat.message.beat.epoch = 3;
-    beat.message.beat.leading = true;
-    beat.message.beat.life = 9;
-    step(beat);
+    PeerInput heartbeat;
+    heartbeat.message.kind = PeerMessage::Kind::Heartbeat;
+    heartbeat.message.heartbeat.node = "node-1";
+    heartbeat.message.heartbeat.epoch = 3;
+    heartbeat.message.heartbeat.leading = true;
+    heartbeat.message.heartbeat.incarnation = 9;
+    step(heartbeat);
     std::uint64_t call = 0;
     for (const Action& a :
          step(UserRequest{{Origin::Kind::Local, 5, 0}, UserOp::Query, "job-1", ""}))
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -172,20 +172,20 @@
   answer.answer = {78, 503, 1, 2'500, "{}"};
   PeerMessage lasting = answer;
   lasting.answer.valid_ms.reset();
-  PeerMessage beat;
-  beat.beat.node = "node-0";
-  beat.beat.epoch = 5;
-  beat.beat.leading = true;
-  beat.beat.hears_leader = true;
-  beat.beat.hears_workers = true;
-  beat.beat.life = 7;
-  beat.beat.clock = 1'000;
-  beat.beat.heard_life = 8;
-  beat.beat.heard_clock = 900;
-  beat.beat.keep_ms = 35'000;
-  beat.beat.alone_ms = 0;
+  PeerMessage heartbeat;
+  heartbeat.heartbeat.node = "node-0";
+  heartbeat.heartbeat.epoch = 5;
+  heartbeat.heartbeat.leading = true;
+  heartbeat.heartbeat.hears_leader = true;
+  heartbeat.heartbeat.hears_workers = true;
+  heartbeat.heartbeat.incarnation = 7;
+  heartbeat.heartbeat.clock = 1'000;
+  heartbeat.heartbeat.heard_incarnation = 8;
+  heartbeat.heartbeat.heard_clock = 900;
+  heartbeat.heartbeat.keep_ms = 35'000;
+  heartbeat.heartbeat.alone_ms = 0;
   const std::string bytes =
-      encode_peer(request) + encode_peer(answer) + encode_peer(beat) + encode_peer(lasting);
+      encode_peer(request) + encode_peer(answer) + encode_peer(heartbeat) + encode_peer(lasting);
   pcg32 random(3);
   PeerReader reader;
   std::vector<PeerMessage> out;
@@ -200,24 +200,24 @@
   EXPECT_EQ(out[1].answer.status, 503);
   EXPECT_EQ(out[1].answer.valid_ms, 2'500U);
   EXPECT_FALSE(out[3].answer.valid_ms.has_value());
-  const PeerBeat& b = out[2].beat;
+  const PeerHeartbeat& b = out[2].heartbeat;
   EXPECT_TRUE(b.leading && b.hears_leader && !b.holding && b.hears_workers);
   EXPECT_EQ(b.node, "node-0");
-  EXPECT_EQ(b.life, 7U);
+  EXPECT_EQ(b.incarnation, 7U);
   EXPECT_EQ(b.clock, 1'000);
-  EXPECT_EQ(b.heard_life, 8U);
+  EXPECT_EQ(b.heard_incarnation, 8U);
   EXPECT_EQ(b.heard_clock, 900);
   EXPECT_EQ(b.keep_ms, 35'000U);
   EXPECT_EQ(b.alone_ms, 0U);  // just now, which isn't never
 }
 
 TEST(PeerFrames, DamagedStreamsAreClosedNotRead) {
-  PeerMessage beat;
-  beat.beat.node = "node-0";
-  beat.beat.epoch = 5;
-  beat.beat.leading = true;
-  beat.beat.hears_leader = false;
-  const std::string good = encode_peer(beat);
+  PeerMessage heartbeat;
+  heartbeat.heartbeat.node = "node-0";
+  heartbeat.heartbeat.epoch = 5;
+  heartbeat.heartbeat.leading = true;
+  heartbeat.heartbeat.hears_leader = false;
+  const std::string good = encode_peer(heartbeat);
   pcg32 random(4);
   for (std::size_t n = 0; n < good.size(); ++n) {
     PeerReader truncated;
@@ -241,7 +241,7 @@
     PeerReader reader;
     reader.feed(noise);
     if (const auto m = reader.next()) {
-      EXPECT_LE(m->beat.node.size(), 256U);
+      EXPECT_LE(m->heartbeat.node.size(), 256U);
     }
   }
 }
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -418,7 +418,7 @@
     const auto m = core->tables().machines.find(name);
     ASSERT_NE(m, core->tables().machines.end()) << name;
     EXPECT_GT(m->second->session, 1U);
-    EXPECT_EQ(m->second->shunned_until, 0) << name;
+    EXPECT_EQ(m->second->quarantined_until, 0) << name;
   }
   world.run();
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -25,7 +25,7 @@
   if (!n.core) return;
   n.core.reset();
   n.frozen_until = 0;
-  ++n.life;
+  ++n.incarnation;
   for (std::size_t j = 0; j < nodes_.size(); ++j) {
     if (j == node) continue;
     const auto& siblings = settings_[j].siblings;
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -304,8 +304,8 @@
   const auto known = by_address_.find(address);
   if (known == by_address_.end()) return;
   const std::string name = known->second;
-  const std::uint64_t life = nodes_[node].life;
-  const auto execute = [=, this] { execute_direct(node, call, name, body, life); };
+  const std::uint64_t incarnation = nodes_[node].incarnation;
+  const auto execute = [=, this] { execute_direct(node, call, name, body, incarnation); };
   if (strikes(slow_commands_))
     at(now_ + random_(6'000), execute);
   else
@@ -313,12 +313,12 @@
 }
 
 void World::execute_direct(std::size_t node, std::uint64_t call, const std::string& name,
-                           const std::string& body, std::uint64_t life) {
+                           const std::string& body, std::uint64_t incarnation) {
   const auto it = workers_.find(name);
   if (it == workers_.end() || !it->second.alive || now_ < it->second.deaf_until) return;
   Worker& w = it->second;
   if (now_ < w.hang_until)  // carried out late
-    return at(w.hang_until + 5, [=, this] { execute_direct(node, call, name, body, life); });
+    return at(w.hang_until + 5, [=, this] { execute_direct(node, call, name, body, incarnation); });
   json::Document doc;
   std::uint64_t token = 0, session = 0;
   int status = 400;
@@ -332,8 +332,8 @@
     }
   }
   const Report report = make_report(w);
-  const auto answer = [this, node, call, life, status, report] {
-    if (nodes_[node].life != life) return;
+  const auto answer = [this, node, call, incarnation, status, report] {
+    if (nodes_[node].incarnation != incarnation) return;
     nodes_[node].direct_calls.erase(call);
     feed(node, WorkerAnswer{call, status, report});
   };
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -187,10 +187,11 @@
 
 void World::start_node(std::size_t i) {
   Node& n = nodes_[i];
-  ++n.life;
+  ++n.incarnation;
   n.direct_calls.clear();
   n.drift = 1.0 + static_cast<double>(random_(500)) * 1e-6;
-  n.core = std::make_unique<Core>(settings_[i], Options{}, plan_.seed * 1000 + n.life * 10 + i);
+  n.core =
+      std::make_unique<Core>(settings_[i], Options{}, plan_.seed * 1000 + n.incarnation * 10 + i);
   feed(i, Tick{});
 }
 
@@ -199,15 +200,15 @@
   if (!n.core) return;
   if (now_ < n.frozen_until) {
     const auto held = std::make_shared<Input>(std::move(input));
-    return at(n.frozen_until, [this, i, held, life = n.life] {
-      if (nodes_[i].life == life) feed(i, std::move(*held));
+    return at(n.frozen_until, [this, i, held, incarnation = n.incarnation] {
+      if (nodes_[i].incarnation == incarnation) feed(i, std::move(*held));
     });
   }
   const Clock clock{steady_clock(i), 1'700'000'000'000 + now_ + static_cast<Time>(random_(10)) - 5};
   auto actions = n.core->step(clock, std::move(input));
-  const std::uint64_t life = n.life;
+  const std::uint64_t incarnation = n.incarnation;
   for (Action& a : actions)
-    if (n.core && n.life == life) act(i, a);
+    if (n.core && n.incarnation == incarnation) act(i, a);
 }
 
 Time World::steady_clock(std::size_t node) const {
@@ -216,8 +217,10 @@
 
 void World::act(std::size_t i, Action& action) {
   Node& n = nodes_[i];
-  const std::uint64_t life = n.life;
-  const auto alive = [this, i, life] { return nodes_[i].core && nodes_[i].life == life; };
+  const std::uint64_t incarnation = n.incarnation;
+  const auto alive = [this, i, incarnation] {
+    return nodes_[i].core && nodes_[i].incarnation == incarnation;
+  };
   if (auto* line = std::get_if<Log>(&action)) {
     // For finding out what happened on a day that fails.
     static const bool wanted = std::getenv("SIM_LOG") != nullptr;
@@ -279,14 +282,14 @@
     const std::string to = settings_[i].siblings[peer->sibling].name;
     const std::size_t j = static_cast<std::size_t>(to.back() - '0');
     // Over the real frames, so that these are in the test too.
-    carry(n.name, to, [this, i, j, life, bytes = encode_peer(peer->message)] {
+    carry(n.name, to, [this, i, j, incarnation, bytes = encode_peer(peer->message)] {
       PeerReader reader;
       reader.feed(bytes);
       auto m = reader.next();
       if (!m) return;
       if (m->kind == PeerMessage::Kind::Request) {
         // The link ends with the process: its number stands for both.
-        const Origin origin{Origin::Kind::Peer, life * nodes_.size() + i, m->request.call};
+        const Origin origin{Origin::Kind::Peer, incarnation * nodes_.size() + i, m->request.call};
         if (m->request.op != UserOp::Report)
           return feed(j, UserRequest{origin, m->request.op, m->request.id, m->request.body});
         if (auto report = decode_report(m->request.body))
@@ -303,15 +306,15 @@
 void World::node_answer(std::size_t i, const Answer& a) {
   if (a.origin.kind == Origin::Kind::Peer) {
     const auto j = static_cast<std::size_t>(a.origin.link % nodes_.size());
-    const std::uint64_t life = a.origin.link / nodes_.size();
+    const std::uint64_t incarnation = a.origin.link / nodes_.size();
     PeerMessage m;
     m.kind = PeerMessage::Kind::Answer;
     m.answer = {a.origin.call, a.status, a.retry_after_s, {}, a.body};
     if (a.valid_until != kNever)
       m.answer.valid_ms =
           static_cast<std::uint32_t>(std::max<Time>(0, a.valid_until - steady_clock(i)));
-    carry(nodes_[i].name, node_name(j), [this, i, j, life, m] {
-      if (nodes_[j].life != life) return;
+    carry(nodes_[i].name, node_name(j), [this, i, j, incarnation, m] {
+      if (nodes_[j].incarnation != incarnation) return;
       const auto& siblings = settings_[j].siblings;
       for (std::size_t k = 0; k < siblings.size(); ++k)
         if (siblings[k].name == node_name(i)) feed(j, PeerInput{k, m});
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -124,7 +124,7 @@
   struct Node {
     std::string name;
     std::unique_ptr<Core> core;
-    std::uint64_t life = 0;
+    std::uint64_t incarnation = 0;
     double drift = 1.0;
     Time refused_until = 0, frozen_until = 0;
     std::set<std::uint64_t> direct_calls;  // waiting for an answer, each with its socket
@@ -186,7 +186,7 @@
   void direct(std::size_t node, std::uint64_t call, const std::string& address,
               const std::string& body);
   void execute_direct(std::size_t node, std::uint64_t call, const std::string& name,
-                      const std::string& body, std::uint64_t life);
+                      const std::string& body, std::uint64_t incarnation);
   void housekeeping();
   void user_tick(std::size_t u);
   void user_next(std::size_t u, Time when);
