--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -299,6 +299,7 @@
     Want want;
     Resources total;
     std::uint32_t tasks = 0;
+    bool guaranteed = false;
   };
   /// Work that the present pass has found nothing to stop for.
   struct Immovable {
@@ -310,7 +311,7 @@
   void place_all();
   bool place_job(Job& job);
   void unplace(Job& job);
-  void note_unmet(const JobSpec& spec, const TeamBook& team, std::uint32_t tasks);
+  void note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks);
   [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m, const char* aim) const;
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
@@ -531,6 +532,8 @@
   Time next_placement_ = 0;
   std::vector<Unmet> unmet_;  // by kind, in the order of their first jobs
   std::unordered_map<const TeamBook*, Resources> unmet_of_team_;
+  /// Work beyond any guarantee waits, and may have the ordinary machines that are up.
+  bool ordinary_awaited_ = false;
   int fetch_votes_ = 0;  // above 0: images fetched at the same time share the rate
   /// Replicas on their way to another machine, and the room that is kept for them there.
   struct Move {
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -174,6 +174,23 @@
         relief += {p.need.cpus * share, p.need.gpus * share, p.need.memory_gb * share};
       }
   }
+  // Work that nobody was promised, and that may use cheap machines, waits for these. An ordinary
+  // one is rented for it only as far as the fleet stays within twice its headroom, and one beyond,
+  // so that it gets on where there are no cheap ones: a guest's array once filled a zone's dear
+  // machines.
+  ordinary_awaited_ = false;
+  const double most = 1 + 2 * options_.headroom_ratio;
+  Resources beyond{used.cpus * most - size.cpus, used.gpus * most - size.gpus, 0};
+  for (const auto& [kind, count] : coming)
+    if (const MachineType* t = tables_.type(kind.first); t != nullptr && !kind.second) {
+      beyond.cpus -= count * t->size.cpus;
+      beyond.gpus -= count * t->size.gpus;
+    }
+  for (const auto& [name, m] : tables_.machines)
+    if (!m->spot && m->retiring && usable(*m)) {
+      beyond.cpus -= m->size.cpus;
+      beyond.gpus -= m->size.gpus;
+    }
   for (Unmet u : unmet_) {
     const Resources& each = u.want.each;
     if (u.want.spot && u.tasks > 0) {
@@ -191,7 +208,21 @@
         continue;
       }
     }
-    if (const MachineType* t = cheapest(u.want, false)) demand[{t->name, false}] += u.total;
+    const MachineType* t = cheapest(u.want, false);
+    if (t == nullptr) continue;
+    if (u.want.spot && !u.guaranteed) {
+      constexpr double kSlack = 1e-6;
+      ordinary_awaited_ = ordinary_awaited_ || (beyond.cpus + t->size.cpus >= -kSlack &&
+                                                beyond.gpus + t->size.gpus >= -kSlack);
+      double share = 1;
+      if (u.total.cpus > 0)
+        share = std::min(share, std::max(0.0, beyond.cpus + t->size.cpus) / u.total.cpus);
+      if (u.total.gpus > 0)
+        share = std::min(share, std::max(0.0, beyond.gpus + t->size.gpus) / u.total.gpus);
+      u.total = {u.total.cpus * share, u.total.gpus * share, u.total.memory_gb * share};
+      beyond -= u.total;
+    }
+    demand[{t->name, false}] += u.total;
   }
   // Headroom for services to come, as a share of what such work uses or waits for.
   for (const Unmet& u : unmet_)
@@ -369,8 +400,9 @@
 // When more is up than is needed, the machines whose replicas are fewest are emptied: replicas end
 // here and there, and no machine would empty by itself. Each goes where its image lies already.
 void Core::retire(Resources size, const Resources& used) {
-  const bool wanted =
-      std::any_of(unmet_.begin(), unmet_.end(), [](auto& u) { return !u.want.spot; });
+  // Emptied while such work waits for it, a machine was rented again each time.
+  const bool wanted = ordinary_awaited_ || std::any_of(unmet_.begin(), unmet_.end(),
+                                                       [](auto& u) { return !u.want.spot; });
   std::size_t up = 0, retiring = 0;
   // By how many tasks have to end or go.
   std::vector<std::pair<std::size_t, Machine*>> candidates;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -224,7 +224,7 @@
     if (job.suspect() && !gang) return true;
   }
   if (left == 0) return true;
-  note_unmet(job.spec(), *team, left);
+  note_unmet(job, *team, left);
   for (std::uint32_t i = 0; i < left && make_room(job); ++i) {
   }
   return false;
@@ -233,7 +233,8 @@
 // Adds to what more machines could serve: what the team's limit allows beyond what it has and what
 // of its is counted already. Jobs of one kind are counted together: a list that was cut off after
 // so many jobs once hid most of a cold start from the sizing of the fleet.
-void Core::note_unmet(const JobSpec& s, const TeamBook& team, std::uint32_t tasks) {
+void Core::note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks) {
+  const JobSpec& s = job.spec();
   Resources& counted = unmet_of_team_[&team];
   std::uint32_t wanted = tasks;
   if (team.limits.gpus_max > 0 && s.need.gpus > 0)
@@ -244,9 +245,11 @@
   const Resources total{s.need.cpus * wanted, s.need.gpus * wanted, s.need.memory_gb * wanted};
   counted += total;
   Want want = want_of(s);
-  auto it =
-      std::find_if(unmet_.begin(), unmet_.end(), [&](const Unmet& u) { return u.want == want; });
-  if (it == unmet_.end()) it = unmet_.insert(unmet_.end(), Unmet{std::move(want), {}, 0});
+  auto it = std::find_if(unmet_.begin(), unmet_.end(), [&](const Unmet& u) {
+    return u.guaranteed == job.guaranteed && u.want == want;
+  });
+  if (it == unmet_.end())
+    it = unmet_.insert(unmet_.end(), Unmet{std::move(want), {}, 0, job.guaranteed});
   it->total += total;
   it->tasks += wanted;
 }
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -71,6 +71,37 @@
   }
 }
 
+// On the operations sites: a guest's array beyond any guarantee filled the dear machines of the
+// zones. It waits for cheap ones; where there are none, it gets on all the same, a few tasks at a
+// time.
+TEST(Capacity, WorkBeyondAGuaranteeWaitsForCheapMachines) {
+  for (const bool cheap : {true, false}) {
+    DayPlan plan = quiet(800);
+    plan.length = 300'000;
+    World world(plan);
+    if (!cheap)
+      for (const char* zone : {"za", "zb"}) world.cloud().capacity[{zone, true}] = 0;
+    world.run_until(1'000);
+    std::size_t done = 0;
+    world.on_completed = [&](const TaskKey&, const std::string&) { ++done; };
+    world.submit(array("job-1", 80, 4));
+    std::size_t most = 0;
+    for (Time t = 2'000; t < 200'000; t += 1'000) {
+      world.run_until(t);
+      // Once what is left of it fits into the guarantee, it is owed machines of any kind.
+      if (done >= 60) continue;
+      std::size_t ordinary = 0;
+      for (const auto& [name, m] : world.cloud().machines) ordinary += m.up && !m.spot ? 1 : 0;
+      most = std::max(most, ordinary);
+    }
+    // One, and one instead of another that was late; what it asks for would take four.
+    EXPECT_LE(most, 2U) << "cheap=" << cheap;
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty()) << "cheap=" << cheap;
+    world.run();
+    EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+  }
+}
+
 // On the operations sites: jobs that fail on every machine until their users call them off. They
 // neither have machines returned as faulty, nor take room from others by starting again at once; a
 // machine on which everything fails is returned all the same.
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -466,6 +466,7 @@
   for (int n = 0; n < 140; ++n) {
     JobSpec spec = array("job-" + std::to_string(1'000 + n), 10, 60);
     spec.team = n % 2 == 0 ? "red" : "blue";
+    spec.spot = false;  // beyond its guarantee, it would wait for cheap machines
     world.submit(spec);
   }
   world.run_until(45'000);
