--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -353,6 +353,7 @@
       spec.image = "img-" + std::to_string(n % 4);
       spec.team = n % 2 == 0 ? "red" : "blue";
       spec.need.cpus = 1.8 + n % 7 * 0.05;
+      spec.spot = n % 3 == 0;  // beyond their guarantee, all would wait for cheap machines
       world.submit(spec);
     }
     world.run_until(60'000);
