--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -102,6 +102,77 @@
   }
 }
 
+// On the operations sites: a guest team without a guarantee brings one huge array and a swarm of
+// one-task jobs. Work within a guarantee starts as if they weren't there, and theirs is served too.
+TEST(Capacity, AGuestDoesNotHoldUpWorkWithinAGuarantee) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    DayPlan plan = quiet(seed + 1'000);
+    plan.length = 420'000;
+    World world(plan);
+    world.run_until(1'000);
+    JobSpec huge = array("job-9000", 300, 4);
+    huge.team = "guest";
+    huge.job_class = "huge";
+    huge.priority = Priority::Low;
+    world.submit(huge);
+    for (std::size_t n = 300; n < 380; ++n) {
+      JobSpec s = array(job_id(n), 1, 5);
+      s.team = "guest";
+      s.job_class = "swarm";
+      s.priority = Priority::Low;
+      world.submit(s);
+      world.run_until(world.now() + 400);
+    }
+    // Warm machines are up by now; what is asked for fits into red's guarantee.
+    std::map<std::string, Time> asked, begun;
+    world.on_command = [&](const std::string&, const Command& c) {
+      if (c.op == Command::Op::Start) begun.try_emplace(c.key.job, world.now());
+    };
+    for (std::size_t n = 0; n < 6; ++n) {
+      asked[job_id(n)] = world.now();
+      JobSpec s = service(job_id(n), 2);
+      s.job_class = "serve";
+      world.submit(s);
+      world.run_until(world.now() + 5'000);
+    }
+    world.run_until(world.now() + 30'000);
+    // A start may have to wait for one machine to boot (12 s, at times half as long again), no
+    // more.
+    for (const auto& [id, when] : asked) {
+      ASSERT_TRUE(begun.contains(id)) << seed << " " << id;
+      EXPECT_LE(begun[id] - when, 25'000) << seed << " " << id;
+    }
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
+// On the operations sites: machines that never come up. They are given up after three boot times,
+// others are rented meanwhile, and what is paid for in vain stays bounded.
+TEST(Capacity, MachinesThatNeverComeUpAreReplaced) {
+  for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+    DayPlan plan = quiet(seed + 1'100);
+    plan.length = 200'000;
+    World world(plan);
+    world.cloud().one_in_never_up = 2;
+    world.run_until(1'000);
+    for (std::size_t n = 0; n < 10; ++n) world.submit(service(job_id(n), 2));
+    Time longest = 0;
+    for (Time t = 2'000; t < 160'000; t += 1'000) {
+      world.run_until(t);
+      for (const auto& [name, m] : world.cloud().machines)
+        if (m.broken) longest = std::max(longest, t - m.rented);
+    }
+    // Three boot times of 12 s, and what a lease and a call take.
+    EXPECT_GT(longest, 30'000) << seed << ": none was waited for";
+    EXPECT_LE(longest, 60'000) << seed;
+    const Tables& tables = world.core(leader_of(world))->tables();
+    for (const auto& [id, job] : tables.jobs) EXPECT_EQ(job->queued, 0U) << seed << " " << id;
+    world.run();
+    expect_served(world, seed);
+  }
+}
+
 // On the operations sites: jobs that fail on every machine until their users call them off. They
 // neither have machines returned as faulty, nor take room from others by starting again at once; a
 // machine on which everything fails is returned all the same.
--- a/tests/sim/stand_ins.hpp
+++ b/tests/sim/stand_ins.hpp
@@ -203,6 +203,7 @@
   std::map<std::pair<std::string, bool>, std::uint32_t> capacity;  // by zone and kind
   std::map<std::string, CloudMachine> machines;
   bool outage = false;
+  std::uint32_t one_in_never_up = 25;
   std::function<void(const CloudMachine&)> on_rented;
   std::function<void(const std::string&)> on_released;
 
@@ -278,7 +279,7 @@
     m.zone = call.rental.zone;
     m.spot = call.rental.spot;
     m.rented = now;
-    m.broken = random_(25) == 0;
+    m.broken = random_(one_in_never_up) == 0;
     const double boot = 1000 * types.front().boot_s * (0.6 + random_(90) / 100.0);
     m.boots = random_(12) == 0 ? now + 1000 : now + static_cast<Time>(boot);
     machines[name] = m;
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -20,7 +20,8 @@
   s.zones = zones;
   const double large = scale > 1 ? 2 : 1;
   s.teams = {{"red", 0, 0, 16.0 * scale, 30.0 * large * scale},
-             {"blue", 0, 0, 8.0 * scale, 12.0 * large * scale}};
+             {"blue", 0, 0, 8.0 * scale, 12.0 * large * scale},
+             {"guest", 0, 0, 0, 0}};
   s.workers.report_s = 1;
   s.workers.lease_s = 10;
   s.workers.cancel_s = 30;
