--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -17,11 +17,11 @@
       options_(options),
       random_(seed),
       tables_(settings_),
-      state_budget_(settings_.store.rps * options.state_share,
-                    settings_.store.rps * options.state_share),
-      write_budget_(settings_.store.write_rps * options.state_share,
-                    settings_.store.write_rps * options.state_share),
-      cloud_budget_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
+      state_limiter_(settings_.store.rps * options.state_share,
+                     settings_.store.rps * options.state_share),
+      write_limiter_(settings_.store.write_rps * options.state_share,
+                     settings_.store.write_rps * options.state_share),
+      cloud_limiter_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
       sibling_views_(settings_.siblings.size()),
       incarnation_((std::uint64_t{random_()} << 32) | random_() | 1) {
   nonce_ = (std::uint64_t{random_()} << 20) ^ random_();
@@ -105,9 +105,8 @@
 
 bool Core::call_state(StateCall request, StateThen then, bool urgent) {
   // Renewals and elections come first: they may overdraw the budget, others have to wait.
-  if (!urgent && !state_budget_.has(1 + settings_.store.rps / 20, clock_.now)) return false;
-  state_budget_.has(0, clock_.now);
-  state_budget_.take(1);
+  if (!urgent && !state_limiter_.allows(1 + settings_.store.rps / 20, clock_.now)) return false;
+  state_limiter_.spend(1, clock_.now);
   const std::uint64_t call = next_call_++;
   const bool watch = request.kind == StateCall::Kind::Watch;
   const Time timeout =
@@ -118,8 +117,8 @@
 }
 
 bool Core::call_cloud(CloudCall request, CloudThen then, bool keep_reserve) {
-  if (!cloud_budget_.has(keep_reserve ? 2 : 1, clock_.now)) return false;
-  cloud_budget_.take(1);
+  if (!cloud_limiter_.allows(keep_reserve ? 2 : 1, clock_.now)) return false;
+  cloud_limiter_.spend(1, clock_.now);
   const std::uint64_t call = next_call_++;
   cloud_calls_.emplace(call, std::move(then));
   out_.push_back(CallCloud{call, std::move(request), ms(settings_.workers.lease_s / 2)});
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -14,6 +14,7 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/rate_limiter.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
 #include "protocol/settings.hpp"
@@ -110,22 +111,6 @@
   std::int64_t wall_ms = 0;
 };
 
-/// Allows so many a second, and a second's worth at once.
-class Budget {
- public:
-  Budget(double per_second, double burst) : rate_(per_second), burst_(burst), left_(burst) {}
-  bool has(double n, Time now) {
-    left_ = std::min(burst_, left_ + rate_ * static_cast<double>(now - at_) / 1000.0);
-    at_ = now;
-    return left_ >= std::min(n, burst_);
-  }
-  void take(double n) { left_ -= n; }
-
- private:
-  double rate_, burst_, left_;
-  Time at_ = 0;
-};
-
 class Core {
  public:
   Core(Settings settings, Options options, std::uint64_t seed);
@@ -220,6 +205,8 @@
   void round_committed(std::uint64_t revision);
   void resolve_round();
   [[nodiscard]] bool round_needed() const;
+  [[nodiscard]] bool image_hints_due();
+  [[nodiscard]] std::size_t operations_allowed(double reserve_share);
   std::string record_text(Job& job, std::uint64_t seq);
   std::size_t shard_for(const std::string& id, std::size_t reserve);
   void settle_job(Job& job);
@@ -399,7 +386,7 @@
   std::unordered_map<std::uint64_t, StateThen> state_calls_;
   std::unordered_map<std::uint64_t, CloudThen> cloud_calls_;
   std::unordered_map<std::uint64_t, WorkerThen> worker_calls_;
-  Budget state_budget_, write_budget_, cloud_budget_;
+  RateLimiter state_limiter_, write_limiter_, cloud_limiter_;
   /// Raised when we begin or end to lead; continuations of an older one end.
   std::uint64_t term_ = 0;
 
@@ -463,7 +450,11 @@
   std::uint64_t head_seq_ = 0, head_version_ = 0;
   std::map<std::string, std::string> tail_;  // records in the head
   std::vector<Job*> dirty_jobs_;
+  /// Shards whose list of machines differs from the checkpoint's.
   std::set<std::size_t> dirty_machine_shards_;
+  /// Shards in which only the images that machines hold differ: a hint for a later leader, written
+  /// from what the limit on writes leaves over.
+  std::set<std::size_t> stale_image_shards_;
   bool rentals_dirty_ = false;
   struct Shard {
     std::set<std::string> ids;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -134,7 +134,7 @@
   txn.kind = StateCall::Kind::Txn;
   txn.conditions = {{kLeaderKey, 0}, {kEpochKey, epoch_version_}};
   txn.puts = {{kLeaderKey, value, lease}, {kEpochKey, value, 0}};
-  write_budget_.take(2);
+  write_limiter_.spend(2, clock_.now);
   call_state(
       txn,
       [this, term, lease, granted, epoch](const StateReply& r) {
@@ -247,6 +247,7 @@
   tail_.clear();
   dirty_jobs_.clear();
   dirty_machine_shards_.clear();
+  stale_image_shards_.clear();
   rentals_dirty_ = false;
   shards_.clear();
   shard_of_.clear();
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -249,8 +249,7 @@
     if (p->job != nullptr) {
       const JobSpec& spec = p->job->spec();
       note_fetch_ended(m, spec.image);
-      if (m.recorded && !m.has_image(spec.image))
-        dirty_machine_shards_.insert(machine_shard(m.name));
+      if (m.recorded && !m.has_image(spec.image)) stale_image_shards_.insert(machine_shard(m.name));
       m.touch_image(spec.image, spec.image_gb);
     }
     log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", t.key.job, "/",
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -10,6 +10,16 @@
 constexpr double kHeadFill = 0.6;
 constexpr std::size_t kTxnBytes = 64 * 1024;
 constexpr std::size_t kMaxWaiting = 2'000;
+/// Shares of the burst of writes that are left to what is more urgent. A round that no user waits
+/// for leaves the larger one; beside its head, a round that users wait for leaves the smaller one
+/// to the next of its kind. Rounds that drew on the future once made submissions wait for 0.9 s.
+constexpr double kBackgroundReserve = 0.5;
+constexpr double kUrgentReserve = 0.25;
+/// A round that no user waits for has room for at least so many writes beside its head: with none,
+/// it would write its head again and again, and get nowhere.
+constexpr std::size_t kLeastBackgroundOperations = 2;
+/// Images are written as long as this share of the burst is left.
+constexpr double kImageHintReserve = 0.75;
 }  // namespace
 
 bool Core::round_needed() const {
@@ -26,14 +36,27 @@
     }
     return;
   }
-  if (!in_command(clock_.now) || !round_needed()) return;
-  // Users who wait come first; what only tidies up leaves half of the budget to them.
-  const double reserve = waiting_next_.empty() ? settings_.store.write_rps * 0.3 : 2;
-  if (!write_budget_.has(reserve, clock_.now)) return;
-  if (!state_budget_.has(settings_.store.rps / 10, clock_.now)) return;
+  if (!in_command(clock_.now) || (!round_needed() && !image_hints_due())) return;
+  if (waiting_next_.empty()) {
+    if (operations_allowed(kBackgroundReserve) < kLeastBackgroundOperations) return;
+  } else if (!write_limiter_.allows(1, clock_.now)) {
+    return;
+  }
+  if (!state_limiter_.allows(settings_.store.rps / 10, clock_.now)) return;
   send_round();
 }
 
+bool Core::image_hints_due() {
+  return !stale_image_shards_.empty() && operations_allowed(kImageHintReserve) > 0;
+}
+
+// How many writes beside the head leave that share of the burst.
+std::size_t Core::operations_allowed(double reserve_share) {
+  const double available = write_limiter_.available(clock_.now);
+  return static_cast<std::size_t>(
+      std::max(0.0, available - 1 - reserve_share * write_limiter_.burst()));
+}
+
 std::string Core::record_text(Job& job, std::uint64_t seq) {
   job.record.seq = seq;
   return encode_record(job.record);
@@ -62,7 +85,9 @@
   const std::size_t value_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024);
   const auto head_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kHeadFill);
   const auto hard_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kFill);
-  const std::size_t max_ops = settings_.store.txn_ops;
+  const std::size_t allowed =
+      1 + operations_allowed(waiting_next_.empty() ? kBackgroundReserve : kUrgentReserve);
+  std::size_t max_ops = std::min<std::size_t>(settings_.store.txn_ops, allowed);
   std::size_t ops = 1, bytes = 1024 + value_limit;  // the head, and the conditions
   const auto room = [&](std::size_t more) {
     return ops < max_ops && bytes + more + 256 <= kTxnBytes;
@@ -78,11 +103,10 @@
   }
   rentals_dirty_ = false;
 
-  // Machines.
-  for (auto it = dirty_machine_shards_.begin(); it != dirty_machine_shards_.end();) {
+  const auto add_machines = [&](std::size_t shard) {
     std::vector<MachineRecord> list;
     for (const auto& [name, m] : tables_.machines)
-      if (machine_shard(name) == *it && (m->recorded || m->record_dirty))
+      if (machine_shard(name) == shard && (m->recorded || m->record_dirty))
         list.push_back({name, m->address, {m->images.begin(), m->images.end()}});
     std::string value = encode_machines(list);
     if (value.size() > hard_limit) {
@@ -90,18 +114,30 @@
       for (MachineRecord& record : list) record.images.clear();
       value = encode_machines(list);
     }
-    if (!room(value.size())) break;
+    if (!room(value.size())) return false;
     ++ops;
     bytes += value.size() + 64;
     for (const auto& m : list) r.machines_added.push_back(m.name);
     if (list.empty())
-      txn.deletes.push_back(machines_key(*it));
+      txn.deletes.push_back(machines_key(shard));
     else
-      txn.puts.push_back({machines_key(*it), std::move(value), 0});
-    it = dirty_machine_shards_.erase(it);
-  }
+      txn.puts.push_back({machines_key(shard), std::move(value), 0});
+    return true;
+  };
+  const auto add_shards = [&](std::set<std::size_t>& shards, std::size_t most) {
+    for (; most > 0 && !shards.empty() && add_machines(*shards.begin()); --most) {
+      const std::size_t shard = *shards.begin();
+      dirty_machine_shards_.erase(shard);
+      stale_image_shards_.erase(shard);
+    }
+  };
+  const std::size_t hints = operations_allowed(kImageHintReserve);
+  add_shards(dirty_machine_shards_, max_ops);
+  if (ops <= hints) add_shards(stale_image_shards_, hints + 1 - ops);
 
-  // Jobs: pieces of large bitmaps first, then the record, into the head's tail.
+  // Jobs: pieces of large bitmaps first, then the record, into the head's tail. Users may wait for
+  // what depends on these.
+  if (!waiting_next_.empty()) max_ops = settings_.store.txn_ops;
   std::vector<Job*> left;
   std::map<std::string, Job*> changed;
   for (Job* job : dirty_jobs_) {
@@ -136,10 +172,13 @@
     changed[job->spec().id] = job;
   }
 
+  max_ops = std::min<std::size_t>(settings_.store.txn_ops, std::max(allowed, ops));
   // What doesn't fit into the head moves to its shard, together with what lay there before.
   for (auto& [id, job] : changed) r.tail[id] = job->round_text = record_text(*job, r.seq);
   for (const auto& [id, text] : r.tail) tail_bytes += text.size() + 1;
   const bool flush = tail_bytes > head_limit;
+  // Without this, the head would take no more records.
+  if (tail_bytes > hard_limit) max_ops = settings_.store.txn_ops;
   if (flush) {
     std::map<std::size_t, std::vector<std::string>> by_shard;
     for (const auto& [id, text] : r.tail) {
@@ -243,8 +282,8 @@
     return;
   }
   const std::uint64_t term = term_;
-  write_budget_.has(0, clock_.now);
-  write_budget_.take(static_cast<double>(round_.call.puts.size() + round_.call.deletes.size()));
+  write_limiter_.spend(static_cast<double>(round_.call.puts.size() + round_.call.deletes.size()),
+                       clock_.now);
   call_state(
       round_.call,
       [this, term](const StateReply& reply) {
--- a/tests/sim/stand_ins.hpp
+++ b/tests/sim/stand_ins.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/rate_limiter.hpp"
 #include "protocol/messages.hpp"
 
 namespace sailreel::sim {
@@ -20,6 +21,13 @@
   std::size_t value_limit = 8 * 1024, ops_limit = 16;
   std::size_t largest_watch = 0;  // in bytes of values
   std::uint64_t malformed = 0;    // requests beyond the limits; ours must never be
+  std::uint64_t refused_writes = 0;
+
+  /// Above these limits requests get 429; both allow bursts of one second's worth.
+  void limit_rates(double requests_per_second, double writes_per_second) {
+    requests_ = RateLimiter(requests_per_second, requests_per_second);
+    writes_ = RateLimiter(writes_per_second, writes_per_second);
+  }
 
   /// Answers at once, or keeps a watch until its time.
   void handle(const StateCall& call, bool refused, Time now, Reply reply) {
@@ -35,6 +43,10 @@
       r.status = 503;
       return reply(r);
     }
+    if (!within_rates(call, now)) {
+      r.status = 429;
+      return reply(r);
+    }
     r.status = 200;
     switch (call.kind) {
       case Kind::Get:
@@ -100,6 +112,9 @@
   }
 
  private:
+  RateLimiter requests_{1e9, 1e9};
+  RateLimiter writes_{1e9, 1e9};
+
   struct Key {
     std::string value;
     std::uint64_t version = 0, lease = 0;
@@ -112,6 +127,19 @@
     Reply reply;
   };
 
+  bool within_rates(const StateCall& call, Time now) {
+    if (!requests_.allows(1, now)) return false;
+    requests_.spend(1, now);
+    const auto writes = static_cast<double>(call.puts.size() + call.deletes.size());
+    if (writes == 0) return true;
+    if (!writes_.allows(writes, now)) {
+      ++refused_writes;
+      return false;
+    }
+    writes_.spend(writes, now);
+    return true;
+  }
+
   int transact(const StateCall& call, Time) {
     std::size_t bytes = 0;
     for (const auto& p : call.puts) {
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -109,6 +109,7 @@
       ++malformed_;
     } else {
       const bool first = !u.accepted;
+      if (first) submission_delays_.push_back(now_ - u.first);
       if (op == UserOp::Cancel) checker_.cancel_answered(u.spec.id, state);
       u.accepted = true;
       checker_.told(u.spec.id, state, now_, u.asked);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -103,6 +103,7 @@
     s.workers.lease_s = plan.lease_s;
     s.workers.cancel_s = plan.cancel_s;
   }
+  state_.limit_rates(settings_[0].store.rps, settings_[0].store.write_rps);
   MachineType t;
   t.name = "box";
   t.size = {16, 8, 128};
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -113,6 +113,8 @@
   [[nodiscard]] std::uint64_t unanswered_submissions() const { return unanswered_; }
   /// The same of cancellations, as far as the node they went to was up.
   [[nodiscard]] std::uint64_t unanswered_cancellations() const { return unanswered_cancels_; }
+  /// How long after its first attempt each job that was accepted by then was so.
+  [[nodiscard]] const std::vector<Time>& submission_delays() const { return submission_delays_; }
   [[nodiscard]] std::uint64_t reports() const { return reports_; }
   [[nodiscard]] std::uint64_t malformed_answers() const { return malformed_; }
   /// Called when a worker has completed a task, before anybody hears of it.
@@ -243,6 +245,7 @@
   std::uint64_t next_odd_ = 1;
   std::uint64_t next_call_ = 1;
   std::map<std::uint64_t, std::function<void(int, const std::string&)>> answers_;
+  std::vector<Time> submission_delays_;
   std::uint64_t malformed_ = 0, unanswered_ = 0, unanswered_cancels_ = 0, reports_ = 0;
 };
 
