Workers are steered to a node of their zone that hears none yet; one silent machine of two is dead

One machine is now sent there once in four leases; if it stays, the others follow.

A machine that died beside a single other one of its zone held up a rebuild for its lease, since one of two is more than a third; alone, it is now taken for dead as it is among three.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -253,6 +253,7 @@
     Time clock = 0;                 // its own, at its latest heartbeat
     Time echo_at = -kNever;         // when the latest of our heartbeats left that it had by then
     Time alone_at = -kNever;        // when it last kept tasks alive by itself, at the latest
+    Time tried_at = -kNever;        // when a worker was last sent there although it hears none
   };
   [[nodiscard]] Time keep_span() const;
   [[nodiscard]] Time contact_span() const;
@@ -263,6 +264,7 @@
   [[nodiscard]] Time expiry(const Machine& m) const;
   void forward_report(const WorkerReport& in);
   bool steer(const WorkerReport& in);
+  [[nodiscard]] std::optional<std::size_t> sibling_for_zone(const std::string& zone);
   [[nodiscard]] bool was_sent_away(const std::string& machine, Time within) const;
   void send_away(const Origin& origin, const std::string& machine, std::size_t sibling);
   void keep_alive(const Origin& origin, const std::string& machine, std::uint64_t token,
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -80,16 +80,30 @@
 bool Core::steer(const WorkerReport& in) {
   const std::string& zone = in.report.zone;
   if (in.origin.kind != Origin::Kind::Local || zone == settings_.zone) return false;
-  std::vector<std::size_t> near;
+  if (was_sent_away(in.report.machine, kSteerLeases * worker_lease())) return false;
+  const std::optional<std::size_t> near = sibling_for_zone(zone);
+  if (near) send_away(in.origin, in.report.machine, *near);
+  return near.has_value();
+}
+
+// A sibling of the zone that hears the leader and workers, or else one that hears no worker, once
+// in a while: it may be cut off from them, or none may report to it yet. One machine tells which,
+// and the others follow. Without that, a node to which no worker reported by chance never got one,
+// and a cut of its zone ended all tasks there.
+std::optional<std::size_t> Core::sibling_for_zone(const std::string& zone) {
+  std::vector<std::size_t> hearing;
+  std::optional<std::size_t> untried;
   for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
-    const SiblingView& v = sibling_views_[i];
-    // One that hears no worker may be cut off from them.
-    if (settings_.siblings[i].zone == zone && v.hears_workers && reaches_leader(v))
-      near.push_back(i);
+    SiblingView& v = sibling_views_[i];
+    if (settings_.siblings[i].zone != zone || !reaches_leader(v)) continue;
+    if (v.hears_workers)
+      hearing.push_back(i);
+    else if (clock_.now - v.tried_at >= kSteerLeases * worker_lease())
+      untried = i;
   }
-  if (near.empty() || was_sent_away(in.report.machine, kSteerLeases * worker_lease())) return false;
-  send_away(in.origin, in.report.machine, near[random_(static_cast<std::uint32_t>(near.size()))]);
-  return true;
+  if (!hearing.empty()) return hearing[random_(static_cast<std::uint32_t>(hearing.size()))];
+  if (untried) sibling_views_[*untried].tried_at = clock_.now;
+  return untried;
 }
 
 bool Core::was_sent_away(const std::string& machine, Time within) const {
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -530,7 +530,8 @@
     } else if (reached > (m->reported ? m->silent_since : led_since_)) {
       // An inquiry that left before the zone was reached says nothing: it may have met the end of a
       // cut that others were out of a moment sooner.
-      if (reached <= m->probe_failed && zone.silent * kDeadShare <= zone.up) release(*m, why);
+      const bool few_of_zone = zone.silent == 1 || zone.silent * kDeadShare <= zone.up;
+      if (reached <= m->probe_failed && few_of_zone) release(*m, why);
     } else {
       inquire_if_due(*zone.witness);
     }
