--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -400,7 +400,6 @@
   std::uint64_t lease_ = 0;
   Time lease_deadline_ = 0, led_since_ = 0;
   Time next_renew_ = 0;
-  bool renewing_ = false;
   bool watching_ = false;
   Time watch_retry_ = 0, campaign_at_ = kNever;
   Time stand_back_until_ = 0;  // after an abdication
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -14,7 +14,7 @@
   if (now >= next_heartbeat_) send_heartbeats();
   if (role_ == Role::Leader || role_ == Role::Loading) {
     if (in_command(now)) last_path_ = now;
-    if (!renewing_ && now >= next_renew_) renew();
+    if (now >= next_renew_) renew();
     return;
   }
   if (leader_sibling() >= 0) last_path_ = now;
@@ -151,7 +151,6 @@
         const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
         lease_deadline_ = granted + ttl - ttl / 500 - 20;
         next_renew_ = granted + ttl / kRenewalsPerLease;
-        renewing_ = false;
         role_ = Role::Loading;
         led_since_ = clock_.now;
         leader_name_ = settings_.name;
@@ -186,12 +185,13 @@
       true);
 }
 
+// A renewal doesn't wait for the answer to the one before: that may be lost, and is given up only
+// after a tenth of a worker's lease.
 void Core::renew() {
   const std::uint64_t term = term_;
   const Time sent = clock_.now;
   const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
   next_renew_ = sent + ttl / kRenewalsPerLease;
-  renewing_ = true;
   StateCall call;
   call.kind = StateCall::Kind::Renew;
   call.lease = lease_;
@@ -199,7 +199,6 @@
       call,
       [this, term, sent, ttl](const StateReply& r) {
         if (term != term_) return;
-        renewing_ = false;
         if (r.status == 404) return step_down("lease ended");
         if (r.status != 200) {
           next_renew_ = std::max(next_renew_, clock_.now + ttl / (kRenewalsPerLease * 4));
@@ -223,7 +222,7 @@
   ++term_;
   const bool led = role_ == Role::Leader;
   role_ = Role::Follower;
-  renewing_ = watching_ = false;
+  watching_ = false;
   campaign_at_ = kNever;
   watch_retry_ = clock_.now + 20 + static_cast<Time>(random_(60));
   leader_name_.clear();
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -147,7 +147,7 @@
       throw SettingsError(std::string("options: ") + name + ": must lie between " +
                           std::to_string(low) + " and " + std::to_string(high));
   };
-  range(o.leader_lease_ratio, 0.1, 1.0, "leader_lease_ratio");
+  range(o.leader_lease_ratio, 0.05, 1.0, "leader_lease_ratio");
   range(o.headroom_ratio, 0.0, 1.0, "headroom_ratio");
   range(o.idle_ratio, 0.0, 100.0, "idle_ratio");
   range(o.state_share, 0.1, 1.0, "state_share");
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -52,7 +52,7 @@
 /// What operators may set beside the platform's file. Each is a ratio to a figure of that file.
 struct Options {
   /// Length of the leader's lease, as a share of the workers' lease.
-  double leader_lease_ratio = 0.25;
+  double leader_lease_ratio = 0.1;
   /// Ordinary room kept free for work to come, as a share of the room in use.
   double headroom_ratio = 0.20;
   /// How long a machine stays without work before it is returned, as a share of its boot time.
