Failed claims count against the write limit; tests of a stray task and of a shard with a postponed job

Siblings that claim the leadership and fail spend two writes each; a new leader now reckons with that.

A background round is sent with a full bucket at the latest, so that limits below nine writes a second can't hold it up for good.

Core.AStrayTaskOfATeamThatIsNoLongerNamedIsStopped ends by a segmentation fault without its guard; Core.AShardHoldsAPostponedJobAsCommitted reads a job as done before its round without its guard. Both were left without a test that fails; they now run against a checkpoint laid out by hand.

--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -7,6 +7,7 @@
 /// one doesn't end it.
 constexpr Time kRenewalsPerLease = 4;
 constexpr Time kWatchMs = 10'000;
+constexpr double kClaimWrites = 2;
 }  // namespace
 
 void Core::election_tick() {
@@ -134,7 +135,7 @@
   txn.kind = StateCall::Kind::Txn;
   txn.conditions = {{kLeaderKey, 0}, {kEpochKey, epoch_version_}};
   txn.puts = {{kLeaderKey, value, lease}, {kEpochKey, value, 0}};
-  write_limiter_.spend(2, clock_.now);
+  write_limiter_.spend(kClaimWrites, clock_.now);
   call_state(
       txn,
       [this, term, lease, granted, epoch](const StateReply& r) {
@@ -147,6 +148,8 @@
         }
         epoch_ = epoch;
         epoch_version_ = r.revision;
+        // The others' claims fail, but count against the limit all the same.
+        write_limiter_.spend(kClaimWrites * static_cast<double>(sibling_views_.size()), clock_.now);
         lease_ = lease;
         const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
         lease_deadline_ = granted + ttl - ttl / 500 - 20;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -17,7 +17,7 @@
 constexpr double kUrgentReserve = 0.25;
 /// A round that no user waits for has room for at least so many writes beside its head: with none,
 /// it would write its head again and again, and get nowhere.
-constexpr std::size_t kLeastBackgroundOperations = 2;
+constexpr std::size_t kLeastOperations = 2;
 /// Images are written as long as this share of the burst is left.
 constexpr double kImageHintReserve = 0.75;
 }  // namespace
@@ -37,11 +37,10 @@
     return;
   }
   if (!in_command(clock_.now) || (!round_needed() && !image_hints_due())) return;
-  if (waiting_next_.empty()) {
-    if (operations_allowed(kBackgroundReserve) < kLeastBackgroundOperations) return;
-  } else if (!write_limiter_.allows(1, clock_.now)) {
-    return;
-  }
+  double needed = 1;
+  if (waiting_next_.empty())
+    needed += kLeastOperations + kBackgroundReserve * write_limiter_.burst();
+  if (!write_limiter_.allows(needed, clock_.now)) return;
   if (!state_limiter_.allows(settings_.store.rps / 10, clock_.now)) return;
   send_round();
 }
@@ -86,7 +85,9 @@
   const auto head_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kHeadFill);
   const auto hard_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kFill);
   const std::size_t allowed =
-      1 + operations_allowed(waiting_next_.empty() ? kBackgroundReserve : kUrgentReserve);
+      1 + (waiting_next_.empty()
+               ? std::max(kLeastOperations, operations_allowed(kBackgroundReserve))
+               : operations_allowed(kUrgentReserve));
   std::size_t max_ops = std::min<std::size_t>(settings_.store.txn_ops, allowed);
   std::size_t ops = 1, bytes = 1024 + value_limit;  // the head, and the conditions
   const auto room = [&](std::size_t more) {
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,114 @@
+// Situations that a simulated day hardly reaches, set up by hand: a checkpoint left by a former
+// leader, and reports made to measure.
+#include <gtest/gtest.h>
+
+#include "sim/core_driver.hpp"
+#include "sim/scenes.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+JobRecord started_job(const std::string& id, std::uint32_t tasks) {
+  JobRecord record;
+  record.spec = array(id, tasks, 30);
+  record.started = tasks;
+  record.done = Bitmap(tasks);
+  return record;
+}
+
+Report report_of(const std::string& machine, std::uint64_t seq, std::vector<ReportedTask> tasks) {
+  Report report;
+  report.machine = machine;
+  report.address = "10.1.0.1:9000";
+  report.type = "box";
+  report.zone = "za";
+  report.session = 1;
+  report.seq = seq;
+  report.tasks = std::move(tasks);
+  return report;
+}
+
+ReportedTask running(const std::string& job, std::uint32_t index) {
+  return {{job, index}, 1, RunState::Running, ExitCause::None, false};
+}
+
+ReportedTask completed(const std::string& job, std::uint32_t index) {
+  return {{job, index}, 1, RunState::Exited, ExitCause::Done, false};
+}
+
+// Two machines report the same task after a take-over, and the settings no longer name its team:
+// the second is told to stop it. Counting it against its team once ended the process.
+TEST(Core, AStrayTaskOfATeamThatIsNoLongerNamedIsStopped) {
+  CoreDriver driver(settings_without_siblings());
+  JobRecord record = started_job("job-1", 2);
+  record.spec.team = "gone";
+  driver.write(kHeadKey, encode_head({1, 0, {}}, {encode_record(record)}));
+  driver.write(machines_key(0),
+               encode_machines({{"m-1", "10.1.0.1:9000", {}}, {"m-2", "10.1.0.2:9000", {}}}));
+  driver.run_for(2'000);
+  ASSERT_TRUE(driver.core().leading());
+  EXPECT_EQ(driver.report(report_of("m-1", 1, {running("job-1", 0)})).find("kill"),
+            std::string::npos);
+  const std::string commands = driver.report(report_of("m-2", 1, {running("job-1", 0)}));
+  EXPECT_NE(commands.find("\"kill\""), std::string::npos) << commands;
+  EXPECT_NE(commands.find("job-1/0"), std::string::npos) << commands;
+  // Its own copy goes on, and is done in the end.
+  driver.report(report_of("m-1", 2, {completed("job-1", 0), running("job-1", 1)}));
+  driver.report(report_of("m-1", 3, {completed("job-1", 0), completed("job-1", 1)}));
+  driver.run_for(1'000);
+  EXPECT_EQ(driver.checkpoint().jobs.at("job-1").phase, Phase::Done);
+}
+
+// A job whose bitmap doesn't fit into a round waits for the next, while the round moves other jobs
+// of its shard there. The shard has to hold it as committed: written from memory, other nodes would
+// read that it is done before that is so.
+TEST(Core, AShardHoldsAPostponedJobAsCommitted) {
+  constexpr std::uint32_t kLarge = 100'000;
+  constexpr std::uint32_t kPieces = (kLarge + kPieceBits - 1) / kPieceBits;
+  constexpr std::size_t kOthers = 80;
+  CoreDriver driver(settings_without_siblings());
+  // All tasks of the large job are done but one in each piece of its bitmap.
+  JobRecord large = started_job("job-1", kLarge);
+  std::vector<ReportedTask> at_first, at_last;
+  for (std::uint32_t i = 0; i < kLarge; ++i) {
+    if (i % kPieceBits != 0) {
+      large.done.set(i);
+      continue;
+    }
+    at_first.push_back(running("job-1", i));
+    at_last.push_back(completed("job-1", i));
+  }
+  ASSERT_EQ(at_first.size(), kPieces);
+  for (std::size_t piece = 0; piece < kPieces; ++piece)
+    driver.write(bitmap_key("job-1", piece),
+                 "{\"h\":\"" + large.done.hex(piece * kPieceBits, kPieceBits) + "\"}");
+  std::map<std::size_t, std::vector<std::string>> shards;
+  shards[0].push_back(encode_record(large));
+  for (std::size_t n = 0; n < kOthers; ++n) {
+    const std::string id = job_id(100 + n);
+    shards[n / 20].push_back(encode_record(started_job(id, 2)));
+    at_first.push_back(running(id, 0));
+    at_last.push_back(completed(id, 0));
+  }
+  for (const auto& [shard, records] : shards) driver.write(shard_key(shard), encode_shard(records));
+  driver.write(kHeadKey, encode_head({1, 0, {}}, {}));
+  driver.write(machines_key(0), encode_machines({{"m-1", "10.1.0.1:9000", {}}}));
+  driver.run_for(2'000);
+  ASSERT_TRUE(driver.core().leading());
+  driver.report(report_of("m-1", 1, at_first));
+  driver.run_for(2'000);
+
+  driver.report(report_of("m-1", 2, at_last));
+  const auto& job = *driver.core().tables().jobs.at("job-1");
+  ASSERT_EQ(job.record.phase, Phase::Done) << "in memory";
+  ASSERT_TRUE(job.dirty) << "the round took it all";
+  Image shard;
+  shard.apply({shard_key(0), driver.state().value_of(shard_key(0)), 1, false});
+  ASSERT_TRUE(shard.jobs.at("job-100").done.test(0)) << "the shard was not written";
+  EXPECT_EQ(shard.jobs.at("job-1").phase, Phase::Active);
+  driver.run_for(3'000);
+  EXPECT_EQ(driver.checkpoint().jobs.at("job-1").phase, Phase::Done);
+}
+
+}  // namespace
+}  // namespace sailreel::sim
--- /dev/null
+++ b/tests/sim/core_driver.hpp
@@ -0,0 +1,101 @@
+// Drives one core without siblings against the stand-in of the state service: the test plays the
+// workers and the cloud, and may lay out a checkpoint beforehand.
+#pragma once
+
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "coordination/core.hpp"
+#include "protocol/worker_codec.hpp"
+#include "sim/stand_ins.hpp"
+#include "sim/world.hpp"
+
+namespace sailreel::sim {
+
+inline Settings settings_without_siblings() {
+  Settings settings = sample_settings(0);
+  settings.siblings.clear();
+  return settings;
+}
+
+class CoreDriver {
+ public:
+  explicit CoreDriver(Settings settings) : core_(std::move(settings), Options{}, 7) {}
+
+  StateService& state() { return state_; }
+  const Core& core() const { return core_; }
+
+  /// Writes a key of the checkpoint, as a former leader would have.
+  void write(const std::string& key, std::string value) {
+    StateCall call;
+    call.kind = StateCall::Kind::Txn;
+    call.puts.push_back({key, std::move(value), 0});
+    state_.handle(call, false, now_, [](const StateReply&) {});
+  }
+
+  /// Ticks every 50 ms.
+  void run_for(Time span) {
+    for (const Time until = now_ + span; now_ < until;) {
+      now_ += 50;
+      step(Tick{});
+    }
+  }
+
+  void step(Input input) {
+    std::vector<Input> inputs;
+    inputs.push_back(std::move(input));
+    while (!inputs.empty()) {
+      Input next = std::move(inputs.back());
+      inputs.pop_back();
+      for (Action& action : core_.step(Clock{now_, now_}, std::move(next))) act(action, inputs);
+    }
+  }
+
+  /// Sends a report and returns the commands of its answer.
+  std::string report(Report report) {
+    const std::uint64_t call = ++next_origin_;
+    report.token = core_.epoch();
+    step(WorkerReport{{Origin::Kind::Local, call, 0}, std::move(report), {}});
+    return answers_[call].body;
+  }
+
+  /// The checkpoint as another node would read it.
+  Image checkpoint() {
+    StateCall list;
+    list.kind = StateCall::Kind::List;
+    list.key = kPrefix;
+    list.limit = 1'000;
+    Image image;
+    state_.handle(list, false, now_, [&](const StateReply& reply) {
+      for (const StateItem& item : reply.items) image.apply(item);
+    });
+    return image;
+  }
+
+ private:
+  void act(Action& action, std::vector<Input>& inputs) {
+    if (auto* answer = std::get_if<Answer>(&action)) {
+      answers_[answer->origin.link] = *answer;
+    } else if (auto* call = std::get_if<CallState>(&action)) {
+      state_.handle(call->request, false, now_, [&inputs, id = call->call](StateReply reply) {
+        inputs.push_back(StateAnswer{id, std::move(reply)});
+      });
+    } else if (auto* cloud = std::get_if<CallCloud>(&action)) {
+      CloudReply reply;
+      reply.status = 503;
+      inputs.push_back(CloudAnswer{cloud->call, reply});
+    } else if (auto* worker = std::get_if<CallWorker>(&action)) {
+      inputs.push_back(WorkerAnswer{worker->call, 0, {}});
+    }
+  }
+
+  Core core_;
+  StateService state_;
+  Time now_ = 1'000;
+  std::uint64_t next_origin_ = 0;
+  std::map<std::uint64_t, Answer> answers_;
+};
+
+}  // namespace sailreel::sim
