--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -526,6 +526,7 @@
   std::unordered_map<const TeamBook*, Resources> unmet_of_team_;
   /// Work beyond any guarantee waits, and may have the ordinary machines that are up.
   bool ordinary_awaited_ = false;
+  Time retire_not_before_ = 0;
   int fetch_votes_ = 0;  // above 0: images fetched at the same time share the rate
   /// Replicas on their way to another machine, and the room that is kept for them there.
   struct Move {
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -16,6 +16,8 @@
 constexpr double kReturnHeadroom = 1.2;
 /// One in so many machines may be on its way to be emptied.
 constexpr std::size_t kRetiringShare = 32;
+/// No machine is emptied until nothing has waited for an ordinary one for so many workers' leases.
+constexpr Time kRetireLeases = 2;
 
 std::string place_key(const std::string& type, const std::string& zone, bool spot) {
   return type + "/" + zone + (spot ? "/spot" : "/ordinary");
@@ -423,7 +425,10 @@
     if (possible && moved.gpus <= m->size.gpus / 2 && moved.cpus <= m->size.cpus / 2)
       candidates.emplace_back(held, m.get());
   }
-  if (wanted || rebuilding_) return;
+  // Demand that comes and goes within seconds once had one machine marked 17 times in a day, and
+  // its replicas moved each time.
+  if (wanted) retire_not_before_ = clock_.now + kRetireLeases * worker_lease();
+  if (rebuilding_ || clock_.now < retire_not_before_) return;
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const auto& a, const auto& b) { return a.first < b.first; });
   Promises under_way;
