--- /dev/null
+++ b/src/coordination/actions.hpp
@@ -0,0 +1,101 @@
+// What the core takes in and what it asks for: the inputs of a step and the actions it returns.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "protocol/messages.hpp"
+#include "protocol/peer_frames.hpp"
+
+namespace sailreel {
+
+/// Where a request came from, and so where its answer goes.
+struct Origin {
+  enum class Kind : std::uint8_t { None, Local, Peer } kind = Kind::None;
+  std::uint64_t link = 0;  // connection, or peer link
+  std::uint64_t call = 0;  // the peer's number for the request
+};
+
+// ---- inputs ----
+struct UserRequest {
+  Origin origin;
+  UserOp op = UserOp::Query;
+  std::string id;    // empty for a submission
+  std::string body;  // a submission's
+};
+struct WorkerReport {
+  Origin origin;
+  Report report;
+  std::string raw;  // as received, to be handed on
+};
+struct StateAnswer {
+  std::uint64_t call = 0;
+  StateReply reply;
+};
+struct CloudAnswer {
+  std::uint64_t call = 0;
+  CloudReply reply;
+};
+/// What a direct command or inquiry brought.
+struct WorkerAnswer {
+  std::uint64_t call = 0;
+  int status = 0;
+  std::optional<Report> report;
+};
+struct PeerInput {
+  std::size_t sibling = 0;
+  PeerMessage message;  // a heartbeat or an answer; requests come as UserRequest or WorkerReport
+};
+struct PeerLost {
+  std::size_t sibling = 0;
+};
+struct Tick {};
+using Input = std::variant<Tick, UserRequest, WorkerReport, StateAnswer, CloudAnswer, WorkerAnswer,
+                           PeerInput, PeerLost>;
+
+// ---- actions ----
+struct Answer {
+  Origin origin;
+  int status = 0;
+  std::string body;
+  int retry_after_s = 0;
+  /// Not to be sent at or after this moment: the right to say it may be over by then.
+  Time valid_until = kNever;
+};
+struct CallState {
+  std::uint64_t call = 0;
+  StateCall request;
+  Time timeout_ms = 0;
+};
+struct CallCloud {
+  std::uint64_t call = 0;
+  CloudCall request;
+  Time timeout_ms = 0;
+};
+struct CallWorker {
+  std::uint64_t call = 0;
+  std::string address, body;
+  Time timeout_ms = 0;
+  Time valid_until = kNever;
+};
+struct SendPeer {
+  std::size_t sibling = 0;
+  PeerMessage message;
+};
+struct ArmTimer {
+  Time in_ms = 0;
+};
+struct Log {
+  enum class Level : std::uint8_t { Debug, Info, Error } level = Level::Info;
+  std::string text;
+};
+using Action = std::variant<Answer, CallState, CallCloud, CallWorker, SendPeer, ArmTimer, Log>;
+
+struct Clock {
+  Time now = 0;
+  std::int64_t wall_ms = 0;
+};
+
+}  // namespace sailreel
--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -23,7 +23,8 @@
                      settings_.store.write_rps * options.state_share),
       cloud_limiter_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
       sibling_views_(settings_.siblings.size()),
-      incarnation_((std::uint64_t{random_()} << 32) | random_() | 1) {
+      incarnation_((std::uint64_t{random_()} << 32) | random_() | 1),
+      shards_(value_limit(kValueFill)) {
   nonce_ = (std::uint64_t{random_()} << 20) ^ random_();
 }
 
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -14,103 +14,19 @@
 #include <variant>
 #include <vector>
 
+#include "coordination/actions.hpp"
 #include "coordination/rate_limiter.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
 #include "protocol/settings.hpp"
 #include "protocol/user_codec.hpp"
 #include "storage/checkpoint.hpp"
+#include "storage/job_shards.hpp"
 #include "storage/tables.hpp"
+#include "storage/transaction_builder.hpp"
 
 namespace sailreel {
 
-/// Where a request came from, and so where its answer goes.
-struct Origin {
-  enum class Kind : std::uint8_t { None, Local, Peer } kind = Kind::None;
-  std::uint64_t link = 0;  // connection, or peer link
-  std::uint64_t call = 0;  // the peer's number for the request
-};
-
-// ---- inputs ----
-struct UserRequest {
-  Origin origin;
-  UserOp op = UserOp::Query;
-  std::string id;    // empty for a submission
-  std::string body;  // a submission's
-};
-struct WorkerReport {
-  Origin origin;
-  Report report;
-  std::string raw;  // as received, to be handed on
-};
-struct StateAnswer {
-  std::uint64_t call = 0;
-  StateReply reply;
-};
-struct CloudAnswer {
-  std::uint64_t call = 0;
-  CloudReply reply;
-};
-/// What a direct command or inquiry brought.
-struct WorkerAnswer {
-  std::uint64_t call = 0;
-  int status = 0;
-  std::optional<Report> report;
-};
-struct PeerInput {
-  std::size_t sibling = 0;
-  PeerMessage message;  // a heartbeat or an answer; requests come as UserRequest or WorkerReport
-};
-struct PeerLost {
-  std::size_t sibling = 0;
-};
-struct Tick {};
-using Input = std::variant<Tick, UserRequest, WorkerReport, StateAnswer, CloudAnswer, WorkerAnswer,
-                           PeerInput, PeerLost>;
-
-// ---- actions ----
-struct Answer {
-  Origin origin;
-  int status = 0;
-  std::string body;
-  int retry_after_s = 0;
-  /// Not to be sent at or after this moment: the right to say it may be over by then.
-  Time valid_until = kNever;
-};
-struct CallState {
-  std::uint64_t call = 0;
-  StateCall request;
-  Time timeout_ms = 0;
-};
-struct CallCloud {
-  std::uint64_t call = 0;
-  CloudCall request;
-  Time timeout_ms = 0;
-};
-struct CallWorker {
-  std::uint64_t call = 0;
-  std::string address, body;
-  Time timeout_ms = 0;
-  Time valid_until = kNever;
-};
-struct SendPeer {
-  std::size_t sibling = 0;
-  PeerMessage message;
-};
-struct ArmTimer {
-  Time in_ms = 0;
-};
-struct Log {
-  enum class Level : std::uint8_t { Debug, Info, Error } level = Level::Info;
-  std::string text;
-};
-using Action = std::variant<Answer, CallState, CallCloud, CallWorker, SendPeer, ArmTimer, Log>;
-
-struct Clock {
-  Time now = 0;
-  std::int64_t wall_ms = 0;
-};
-
 class Core {
  public:
   Core(Settings settings, Options options, std::uint64_t seed);
@@ -208,13 +124,30 @@
   [[nodiscard]] bool image_hints_due();
   [[nodiscard]] std::size_t operations_allowed(double reserve_share);
   std::string record_text(Job& job, std::uint64_t seq);
-  std::size_t shard_for(const std::string& id, std::size_t reserve);
+  [[nodiscard]] std::size_t value_limit(double fill) const;
+  std::size_t add_rentals(Head& head);
+  void add_machine_shards(TransactionBuilder& transaction);
+  bool add_machine_shard(TransactionBuilder& transaction, std::size_t shard);
+  std::map<std::string, Job*> add_bitmaps(TransactionBuilder& transaction,
+                                          std::vector<Job*>& postponed);
+  static bool add_bitmap(TransactionBuilder& transaction, Job& job);
+  std::size_t flush_tail(TransactionBuilder& transaction);
+  std::size_t reserve_for(const std::string& id, const std::string& text);
+  std::string text_for_shard(const std::string& id);
+  void postpone_excess(std::map<std::string, Job*>& changed, std::vector<Job*>& postponed,
+                       std::size_t head_bytes);
+  void take_waiters();
   void settle_job(Job& job);
   void touch(Job& job);
   void finish_job(Job& job);
 
   // rebuild.cpp
   void begin_rebuild();
+  void note_unreadable(const Image& image);
+  void load_shards(const Image& image);
+  void load_jobs(Image& image);
+  void load_job(JobRecord record);
+  void load_machines(const Image& image);
   void rebuild_tick();
   void inquire(Machine& m);
   void inquire_if_due(Machine& m);
@@ -457,14 +390,7 @@
   /// from what the limit on writes leaves over.
   std::set<std::size_t> stale_image_shards_;
   bool rentals_dirty_ = false;
-  struct Shard {
-    std::set<std::string> ids;
-    std::size_t reserved = 0;
-  };
-  /// Of a shard that can't be read: it takes no job, and isn't written.
-  static constexpr std::size_t kClosedShard = SIZE_MAX / 2;
-  std::vector<Shard> shards_;
-  std::unordered_map<std::string, std::pair<std::size_t, std::size_t>> shard_of_;  // and reserve
+  JobShards shards_;
   struct FinishedTask {
     std::string job;
     std::uint32_t index = 0;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -252,7 +252,6 @@
   stale_image_shards_.clear();
   rentals_dirty_ = false;
   shards_.clear();
-  shard_of_.clear();
   rentals_.clear();
   release_queue_.clear();
   refused_.clear();
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -14,8 +14,34 @@
   next_attempt_ = 1;
   next_rental_ = 1;
   Image image = std::exchange(loading_, Image{});
-  // What an unreadable value held is unknown, and never taken for missing: jobs that may be in it
-  // get 503, and it is not written over.
+  note_unreadable(image);
+  if (image.unreadable.contains(kHeadKey) || image.unreadable.contains(kEpochKey)) {
+    revoke(lease_);
+    stand_back_until_ = now + worker_lease();
+    return step_down("the checkpoint's head can't be read");
+  }
+  tables_.clear();
+  head_seq_ = image.head.seq;
+  head_version_ = image.head_version;
+  load_shards(image);
+  load_jobs(image);
+  for (const RentalRequest& r : image.head.rentals)
+    rentals_[r.request] = {r, true, false, now, now};
+  load_machines(image);
+  released_.clear();
+  next_types_ = next_list_ = next_sizing_ = now;
+  // Written at once, so that the head carries the new epoch before anything depends on it.
+  rentals_dirty_ = true;
+  log(Log::Level::Info, "event=leading jobs=", tables_.jobs.size(),
+      " finished=", tables_.finished.size(), " machines=", tables_.machines.size(),
+      " after_ms=", now - led_since_);
+  send_heartbeats();
+  rebuild_tick();
+}
+
+// What an unreadable value held is unknown, and never taken for missing: jobs that may be in it get
+// 503, and it is not written over.
+void Core::note_unreadable(const Image& image) {
   unknown_jobs_ = false;
   unknown_machines_ = false;
   for (const std::string& key : image.unreadable) {
@@ -23,15 +49,21 @@
     unknown_machines_ = unknown_machines_ || key.starts_with(kMachinesPrefix);
     unknown_jobs_ = unknown_jobs_ || key.starts_with(kShardPrefix);
   }
-  if (image.unreadable.contains(kHeadKey) || image.unreadable.contains(kEpochKey)) {
-    revoke(lease_);
-    stand_back_until_ = now + worker_lease();
-    return step_down("the checkpoint's head can't be read");
+}
+
+void Core::load_shards(const Image& image) {
+  shards_.clear();
+  for (const std::string& key : image.unreadable)
+    if (const auto shard = shard_number(key)) shards_.close(*shard);
+  for (const auto& [id, shard] : image.shard_of) {
+    const JobRecord& record = image.jobs.at(id);
+    shards_.add(id, shard, record_reserve(record.final, encode_record(record).size()));
   }
+  tail_.clear();
+  for (const std::string& id : image.in_head) tail_[id] = encode_record(image.jobs.at(id));
+}
 
-  tables_.clear();
-  head_seq_ = image.head.seq;
-  head_version_ = image.head_version;
+void Core::load_jobs(Image& image) {
   for (const auto& [key, digits] : image.pieces)
     if (const auto it = image.jobs.find(key.first);
         it != image.jobs.end() && it->second.done.size() > 0)
@@ -48,65 +80,39 @@
     return std::pair(a->submitted_wall_ms, a->spec.id) <
            std::pair(b->submitted_wall_ms, b->spec.id);
   });
-  shards_.clear();
-  shard_of_.clear();
-  for (const std::string& key : image.unreadable)
-    if (const auto shard = shard_number(key)) {
-      if (shards_.size() <= *shard) shards_.resize(*shard + 1);
-      shards_[*shard].reserved = kClosedShard;
-    }
-  for (const auto& [id, shard] : image.shard_of) {
-    if (shards_.size() <= shard) shards_.resize(shard + 1);
-    // Its readable jobs move to another shard once they change; the later record counts.
-    if (shards_[shard].reserved == kClosedShard) continue;
-    const JobRecord& r = image.jobs.at(id);
-    const std::size_t reserve = record_reserve(r.final, encode_record(r).size());
-    shards_[shard].ids.insert(id);
-    shards_[shard].reserved += reserve;
-    shard_of_[id] = {shard, reserve};
-  }
-  tail_.clear();
-  for (const std::string& id : image.in_head) tail_[id] = encode_record(image.jobs.at(id));
+  for (JobRecord* record : records) load_job(std::move(*record));
+}
 
-  for (JobRecord* record : records) {
-    std::string stored = encode_record(*record);
-    Job& job = tables_.add_job(std::move(*record));
-    job.stored = std::move(stored);
-    job.committed = true;
-    job.committed_phase = job.record.phase;
-    job.started = job.record.started;
-    // Where its time since submission can be told, it is; the time of day may be off a little.
-    job.accepted = now - std::max<Time>(0, clock_.wall_ms - job.record.submitted_wall_ms);
-    TeamBook* team = job.team;
-    // What was never started is nowhere, and needs no wait.
-    for (std::uint32_t i = 0; i < std::min(job.started, job.spec().tasks); ++i)
-      if (Task& t = job.tasks[i]; t.state == TaskState::Queued) {
-        t.state = TaskState::Unknown;
-        --job.queued;
-        ++job.unknown;
-        if (team != nullptr) team->used += job.spec().need;
-      }
+void Core::load_job(JobRecord record) {
+  std::string stored = encode_record(record);
+  Job& job = tables_.add_job(std::move(record));
+  job.stored = std::move(stored);
+  job.committed = true;
+  job.committed_phase = job.record.phase;
+  job.started = job.record.started;
+  // Where its time since submission can be told, it is; the time of day may be off a little.
+  job.accepted = clock_.now - std::max<Time>(0, clock_.wall_ms - job.record.submitted_wall_ms);
+  // What was never started is nowhere, and needs no wait.
+  for (std::uint32_t i = 0; i < std::min(job.started, job.spec().tasks); ++i) {
+    Task& task = job.tasks[i];
+    if (task.state != TaskState::Queued) continue;
+    task.state = TaskState::Unknown;
+    --job.queued;
+    ++job.unknown;
+    if (job.team != nullptr) job.team->used += job.spec().need;
   }
-  for (const RentalRequest& r : image.head.rentals)
-    rentals_[r.request] = {r, true, false, now, now};
+}
+
+void Core::load_machines(const Image& image) {
   for (const auto& [shard, list] : image.machines)
-    for (const MachineRecord& r : list) {
-      Machine& m = tables_.add_machine(r.name, now);
-      m.address = r.address;
-      m.recorded = true;
-      m.images.assign(r.images.begin(), r.images.end());
-      m.heard = now;
-      m.answered = now;
+    for (const MachineRecord& record : list) {
+      Machine& machine = tables_.add_machine(record.name, clock_.now);
+      machine.address = record.address;
+      machine.recorded = true;
+      machine.images.assign(record.images.begin(), record.images.end());
+      machine.heard = clock_.now;
+      machine.answered = clock_.now;
     }
-  released_.clear();
-  next_types_ = next_list_ = next_sizing_ = now;
-  // Written at once, so that the head carries the new epoch before anything depends on it.
-  rentals_dirty_ = true;
-  log(Log::Level::Info, "event=leading jobs=", tables_.jobs.size(),
-      " finished=", tables_.finished.size(), " machines=", tables_.machines.size(),
-      " after_ms=", now - led_since_);
-  send_heartbeats();
-  rebuild_tick();
 }
 
 // The rebuild is over once every machine that may hold tasks has been heard under our token, or
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -1,14 +1,15 @@
 // Rounds: one checkpoint transaction at a time; all that waits goes into the next.
+#include <utility>
+
 #include "coordination/core.hpp"
 #include "protocol/user_codec.hpp"
 
 namespace sailreel {
 namespace {
-/// Share of a value's limit that is used, so that a miscounted byte is no refused write.
-constexpr double kFill = 0.85;
 /// The head keeps the latest changes while they are few; then they move to their shards.
 constexpr double kHeadFill = 0.6;
-constexpr std::size_t kTxnBytes = 64 * 1024;
+/// What the conditions of a round take, at most.
+constexpr std::size_t kConditionBytes = 1024;
 constexpr std::size_t kMaxWaiting = 2'000;
 /// Shares of the burst of writes that are left to what is more urgent. A round that no user waits
 /// for leaves the larger one; beside its head, a round that users wait for leaves the smaller one
@@ -61,217 +62,210 @@
   return encode_record(job.record);
 }
 
-std::size_t Core::shard_for(const std::string& id, std::size_t reserve) {
-  const auto limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kFill);
-  if (const auto it = shard_of_.find(id); it != shard_of_.end()) return it->second.first;
-  std::size_t i = 0;
-  while (i < shards_.size() && shards_[i].reserved + reserve > limit) ++i;
-  if (i == shards_.size()) shards_.emplace_back();
-  shards_[i].ids.insert(id);
-  shards_[i].reserved += reserve;
-  shard_of_[id] = {i, reserve};
-  return i;
+std::size_t Core::value_limit(double fill) const {
+  return static_cast<std::size_t>(settings_.store.value_kb * 1024 * fill);
 }
 
+// Puts the next round together and sends it.
 void Core::send_round() {
   round_ = Round{};
-  Round& r = round_;
-  r.seq = head_seq_ + 1;
-  r.tail = tail_;
-  StateCall& txn = r.call;
-  txn.kind = StateCall::Kind::Txn;
-  txn.conditions = {{kEpochKey, epoch_version_}, {kHeadKey, head_version_}};
-  const std::size_t value_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024);
-  const auto head_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kHeadFill);
-  const auto hard_limit = static_cast<std::size_t>(settings_.store.value_kb * 1024 * kFill);
+  round_.seq = head_seq_ + 1;
+  round_.tail = tail_;
   const std::size_t allowed =
       1 + (waiting_next_.empty()
                ? std::max(kLeastOperations, operations_allowed(kBackgroundReserve))
                : operations_allowed(kUrgentReserve));
-  std::size_t max_ops = std::min<std::size_t>(settings_.store.txn_ops, allowed);
-  std::size_t ops = 1, bytes = 1024 + value_limit;  // the head, and the conditions
-  const auto room = [&](std::size_t more) {
-    return ops < max_ops && bytes + more + 256 <= kTxnBytes;
-  };
-
-  // The rentals lie in the head; what they take isn't there for jobs.
-  Head head{r.seq, epoch_, {}};
-  std::size_t tail_bytes = 64;
+  const std::size_t most = settings_.store.txn_ops;
+  TransactionBuilder transaction(std::min(most, allowed), kConditionBytes + value_limit(1));
+
+  Head head{round_.seq, epoch_, {}};
+  std::size_t head_bytes = add_rentals(head);
+  add_machine_shards(transaction);
+  // Users may wait for what depends on these.
+  if (!waiting_next_.empty()) transaction.limit_operations(most);
+  std::vector<Job*> postponed;
+  std::map<std::string, Job*> changed = add_bitmaps(transaction, postponed);
+
+  for (auto& [id, job] : changed) round_.tail[id] = job->round_text = record_text(*job, round_.seq);
+  for (const auto& [id, text] : round_.tail) head_bytes += text.size() + 1;
+  // Without all operations, a head that is full would take no more records.
+  const bool full = head_bytes > value_limit(kValueFill);
+  transaction.limit_operations(full ? most
+                                    : std::min(most, std::max(allowed, transaction.operations())));
+  if (head_bytes > value_limit(kHeadFill)) head_bytes -= flush_tail(transaction);
+  if (head_bytes > value_limit(kValueFill)) postpone_excess(changed, postponed, head_bytes);
+
+  std::vector<std::string> records;
+  for (const auto& [id, text] : round_.tail) records.push_back(text);
+  round_.call = std::move(transaction)
+                    .finish({{kEpochKey, epoch_version_}, {kHeadKey, head_version_}},
+                            {kHeadKey, encode_head(head, records), 0});
+  for (auto& [id, job] : changed) {
+    job->dirty = false;
+    job->round_phase = job->record.phase;
+    round_.jobs.push_back({id, job->record.phase, job->record.final, job->record.started});
+  }
+  dirty_jobs_ = std::move(postponed);
+  take_waiters();
+  round_open_ = true;
+  resolve_round();
+}
+
+// The open rentals lie in the head; what they take isn't there for jobs. Returns their size.
+std::size_t Core::add_rentals(Head& head) {
+  constexpr std::size_t kPunctuationBytes = 64;
+  std::size_t bytes = kPunctuationBytes;
   for (const auto& [request, rental] : rentals_) {
     head.rentals.push_back(rental.request);
-    tail_bytes += 64 + request.size() + rental.request.type.size() + rental.request.zone.size();
-    r.rentals.push_back(request);
+    bytes += kPunctuationBytes + request.size() + rental.request.type.size() +
+             rental.request.zone.size();
+    round_.rentals.push_back(request);
   }
   rentals_dirty_ = false;
+  return bytes;
+}
 
-  const auto add_machines = [&](std::size_t shard) {
-    std::vector<MachineRecord> list;
-    for (const auto& [name, m] : tables_.machines)
-      if (machine_shard(name) == shard && (m->recorded || m->record_dirty))
-        list.push_back({name, m->address, {m->images.begin(), m->images.end()}});
-    std::string value = encode_machines(list);
-    if (value.size() > hard_limit) {
-      // Images are worth knowing after a take-over, but only the machines have to be known.
-      for (MachineRecord& record : list) record.images.clear();
-      value = encode_machines(list);
-    }
-    if (!room(value.size())) return false;
-    ++ops;
-    bytes += value.size() + 64;
-    for (const auto& m : list) r.machines_added.push_back(m.name);
-    if (list.empty())
-      txn.deletes.push_back(machines_key(shard));
-    else
-      txn.puts.push_back({machines_key(shard), std::move(value), 0});
-    return true;
-  };
-  const auto add_shards = [&](std::set<std::size_t>& shards, std::size_t most) {
-    for (; most > 0 && !shards.empty() && add_machines(*shards.begin()); --most) {
-      const std::size_t shard = *shards.begin();
-      dirty_machine_shards_.erase(shard);
-      stale_image_shards_.erase(shard);
-    }
-  };
+void Core::add_machine_shards(TransactionBuilder& transaction) {
   const std::size_t hints = operations_allowed(kImageHintReserve);
-  add_shards(dirty_machine_shards_, max_ops);
-  if (ops <= hints) add_shards(stale_image_shards_, hints + 1 - ops);
-
-  // Jobs: pieces of large bitmaps first, then the record, into the head's tail. Users may wait for
-  // what depends on these.
-  if (!waiting_next_.empty()) max_ops = settings_.store.txn_ops;
-  std::vector<Job*> left;
-  std::map<std::string, Job*> changed;
-  for (Job* job : dirty_jobs_) {
-    bool whole = true;
-    while (!job->dirty_pieces.empty()) {
-      const std::size_t piece = *job->dirty_pieces.begin();
-      const std::string key = bitmap_key(job->spec().id, piece);
-      if (job->record.final) {
-        // A finished job's pieces are deleted, as far as there are any.
-        if (!room(0)) {
-          whole = false;
-          break;
-        }
-        txn.deletes.push_back(key);
-      } else {
-        std::string value =
-            "{\"h\":\"" + job->record.done.hex(piece * kPieceBits, kPieceBits) + "\"}";
-        if (!room(value.size())) {
-          whole = false;
-          break;
-        }
-        bytes += value.size() + 64;
-        txn.puts.push_back({key, std::move(value), 0});
-      }
-      ++ops;
-      job->dirty_pieces.erase(piece);
-    }
-    if (!whole) {
-      left.push_back(job);
-      continue;
-    }
-    changed[job->spec().id] = job;
+  while (!dirty_machine_shards_.empty() &&
+         add_machine_shard(transaction, *dirty_machine_shards_.begin())) {
+  }
+  while (!stale_image_shards_.empty() && transaction.operations() <= hints &&
+         add_machine_shard(transaction, *stale_image_shards_.begin())) {
+  }
+}
+
+bool Core::add_machine_shard(TransactionBuilder& transaction, std::size_t shard) {
+  std::vector<MachineRecord> list;
+  for (const auto& [name, m] : tables_.machines)
+    if (machine_shard(name) == shard && (m->recorded || m->record_dirty))
+      list.push_back({name, m->address, {m->images.begin(), m->images.end()}});
+  std::string value = encode_machines(list);
+  if (value.size() > value_limit(kValueFill)) {
+    // Images are worth knowing after a take-over, but only the machines have to be known.
+    for (MachineRecord& record : list) record.images.clear();
+    value = encode_machines(list);
   }
+  const std::string key = machines_key(shard);
+  if (!(list.empty() ? transaction.erase(key) : transaction.put(key, std::move(value))))
+    return false;
+  for (const MachineRecord& record : list) round_.machines_added.push_back(record.name);
+  dirty_machine_shards_.erase(shard);
+  stale_image_shards_.erase(shard);
+  return true;
+}
+
+// Adds the changed pieces of the jobs' bitmaps. Returns the jobs whose record may be written in
+// this round: those of which no piece is left.
+std::map<std::string, Job*> Core::add_bitmaps(TransactionBuilder& transaction,
+                                              std::vector<Job*>& postponed) {
+  std::map<std::string, Job*> whole;
+  for (Job* job : dirty_jobs_)
+    if (add_bitmap(transaction, *job))
+      whole[job->spec().id] = job;
+    else
+      postponed.push_back(job);
+  return whole;
+}
+
+bool Core::add_bitmap(TransactionBuilder& transaction, Job& job) {
+  while (!job.dirty_pieces.empty()) {
+    const std::size_t piece = *job.dirty_pieces.begin();
+    const std::string key = bitmap_key(job.spec().id, piece);
+    // A finished job's pieces are deleted, as far as there are any.
+    const bool added =
+        job.record.final
+            ? transaction.erase(key)
+            : transaction.put(
+                  key, "{\"h\":\"" + job.record.done.hex(piece * kPieceBits, kPieceBits) + "\"}");
+    if (!added) return false;
+    job.dirty_pieces.erase(piece);
+  }
+  return true;
+}
 
-  max_ops = std::min<std::size_t>(settings_.store.txn_ops, std::max(allowed, ops));
-  // What doesn't fit into the head moves to its shard, together with what lay there before.
-  for (auto& [id, job] : changed) r.tail[id] = job->round_text = record_text(*job, r.seq);
-  for (const auto& [id, text] : r.tail) tail_bytes += text.size() + 1;
-  const bool flush = tail_bytes > head_limit;
-  // Without this, the head would take no more records.
-  if (tail_bytes > hard_limit) max_ops = settings_.store.txn_ops;
-  if (flush) {
-    std::map<std::size_t, std::vector<std::string>> by_shard;
-    for (const auto& [id, text] : r.tail) {
-      const Job* job = tables_.job(id);
-      const std::size_t reserve = record_reserve(job == nullptr || job->record.final, text.size());
-      by_shard[shard_for(id, reserve)].push_back(id);
+// Moves what doesn't fit into the head to its shards, together with what lies there already.
+// Returns how many bytes of the head that frees.
+std::size_t Core::flush_tail(TransactionBuilder& transaction) {
+  std::map<std::size_t, std::vector<std::string>> by_shard;
+  for (const auto& [id, text] : round_.tail)
+    by_shard[shards_.place(id, reserve_for(id, text))].push_back(id);
+  std::size_t freed = 0;
+  for (const auto& [shard, ids] : by_shard) {
+    constexpr std::size_t kPunctuationBytes = 32;
+    std::vector<std::string> records;
+    std::size_t bytes = kPunctuationBytes;
+    for (const std::string& id : shards_.jobs_in(shard)) {
+      std::string text = text_for_shard(id);
+      if (text.empty()) continue;
+      shards_.set_reserve(id, reserve_for(id, text));
+      bytes += text.size() + 1;
+      records.push_back(std::move(text));
     }
-    for (const auto& [shard, ids] : by_shard) {
-      std::vector<std::string> records;
-      std::size_t size = 32, reserved = 0;
-      for (const std::string& id : shards_[shard].ids) {
-        std::string text;
-        if (const auto t = r.tail.find(id); t != r.tail.end()) {
-          text = t->second;
-        } else if (const Job* job = tables_.job(id)) {
-          // As the checkpoint has it. Encoded from memory, a change that waits for a later round
-          // would be read by others before its own round, and told to users.
-          text = job->stored;
-          if (text.empty()) {
-            reserved += shard_of_[id].second;
-            continue;
-          }
-        } else if (const auto f = tables_.finished.find(id); f != tables_.finished.end()) {
-          JobRecord record;
-          record.final = true;
-          record.spec.id = id;
-          record.spec.tasks = f->second.tasks;
-          record.phase = f->second.phase;
-          record.seq = f->second.seq;
-          text = encode_record(record);
-        } else {
-          continue;
-        }
-        const Job* job = tables_.job(id);
-        auto& reserve = shard_of_[id].second;
-        reserve = record_reserve(job == nullptr || job->record.final, text.size());
-        reserved += reserve;
-        size += text.size() + 1;
-        records.push_back(std::move(text));
-      }
-      shards_[shard].reserved = reserved;
-      if (size > value_limit || !room(size)) continue;
-      ++ops;
-      bytes += size + 64;
-      txn.puts.push_back({shard_key(shard), encode_shard(records), 0});
-      for (const std::string& id : ids) {
-        tail_bytes -= r.tail[id].size() + 1;
-        r.tail.erase(id);
-      }
+    if (bytes > value_limit(1) || !transaction.put(shard_key(shard), encode_shard(records)))
+      continue;
+    for (const std::string& id : ids) {
+      freed += round_.tail[id].size() + 1;
+      round_.tail.erase(id);
     }
   }
-  // A burst larger than one round: the rest of it waits for the next.
-  for (auto it = changed.begin(); it != changed.end() && tail_bytes > hard_limit;) {
-    const auto t = r.tail.find(it->first);
-    if (t == r.tail.end()) {
+  return freed;
+}
+
+std::size_t Core::reserve_for(const std::string& id, const std::string& text) {
+  const Job* job = tables_.job(id);
+  return record_reserve(job == nullptr || job->record.final, text.size());
+}
+
+// A job's record for its shard; empty if there is none yet.
+std::string Core::text_for_shard(const std::string& id) {
+  if (const auto t = round_.tail.find(id); t != round_.tail.end()) return t->second;
+  // As the checkpoint has it. Encoded from memory, a change that waits for a later round would be
+  // read by others before its own round, and told to users.
+  if (const Job* job = tables_.job(id)) return job->stored;
+  const auto f = tables_.finished.find(id);
+  if (f == tables_.finished.end()) return {};
+  JobRecord record;
+  record.final = true;
+  record.spec.id = id;
+  record.spec.tasks = f->second.tasks;
+  record.phase = f->second.phase;
+  record.seq = f->second.seq;
+  return encode_record(record);
+}
+
+// A burst larger than one round: the rest of it waits for the next.
+void Core::postpone_excess(std::map<std::string, Job*>& changed, std::vector<Job*>& postponed,
+                           std::size_t head_bytes) {
+  for (auto it = changed.begin(); it != changed.end() && head_bytes > value_limit(kValueFill);) {
+    const auto t = round_.tail.find(it->first);
+    if (t == round_.tail.end()) {
       ++it;
       continue;
     }
-    const auto before = tail_.find(it->first);
-    tail_bytes -= t->second.size() + 1;
-    if (before == tail_.end()) {
-      r.tail.erase(t);
-    } else {
+    head_bytes -= t->second.size() + 1;
+    if (const auto before = tail_.find(it->first); before != tail_.end()) {
       t->second = before->second;
-      tail_bytes += t->second.size() + 1;
+      head_bytes += t->second.size() + 1;
+    } else {
+      round_.tail.erase(t);
     }
-    left.push_back(it->second);
+    postponed.push_back(it->second);
     it = changed.erase(it);
   }
-  std::vector<std::string> records;
-  for (const auto& [id, text] : r.tail) records.push_back(text);
-  txn.puts.insert(txn.puts.begin(), {kHeadKey, encode_head(head, records), 0});
+}
 
+// Users and workers who wait for a job of this round are answered with it, the others later.
+void Core::take_waiters() {
   std::set<std::string> postponed;
-  for (Job* job : left) postponed.insert(job->spec().id);
-  for (auto& [id, job] : changed) {
-    job->dirty = false;
-    job->round_phase = job->record.phase;
-    r.jobs.push_back({id, job->record.phase, job->record.final, job->record.started});
-  }
-  dirty_jobs_ = std::move(left);
-  std::vector<Waiter> wait_on;
-  for (Waiter& w : waiting_next_)
-    (postponed.contains(w.id) ? wait_on : r.waiters).push_back(std::move(w));
-  waiting_next_ = std::move(wait_on);
-  std::vector<FinishedTask> finished_on;
-  for (auto& f : finished_next_)
-    (postponed.contains(f.job) ? finished_on : r.finished_tasks).push_back(std::move(f));
-  finished_next_ = std::move(finished_on);
-
-  round_open_ = true;
-  resolve_round();
+  for (const Job* job : dirty_jobs_) postponed.insert(job->spec().id);
+  std::vector<Waiter> waiters = std::exchange(waiting_next_, {});
+  for (Waiter& waiter : waiters)
+    (postponed.contains(waiter.id) ? waiting_next_ : round_.waiters).push_back(std::move(waiter));
+  std::vector<FinishedTask> finished = std::exchange(finished_next_, {});
+  for (FinishedTask& task : finished)
+    (postponed.contains(task.job) ? finished_next_ : round_.finished_tasks)
+        .push_back(std::move(task));
 }
 
 // Sends the open round's transaction, again if need be. Without an answer it may have been carried
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -30,6 +30,9 @@
 inline constexpr const char* kShardPrefix = "sr/s/";
 inline constexpr const char* kMachinesPrefix = "sr/m/";
 
+/// Share of a value's limit that is used, so that a miscounted byte is no refused write.
+inline constexpr double kValueFill = 0.85;
+
 std::string shard_key(std::size_t shard);
 /// The shard that the key is of, if it is one's.
 std::optional<std::size_t> shard_number(std::string_view key);
--- /dev/null
+++ b/src/storage/job_shards.cpp
@@ -0,0 +1,42 @@
+#include "storage/job_shards.hpp"
+
+namespace sailreel {
+
+void JobShards::clear() {
+  shards_.clear();
+  locations_.clear();
+}
+
+JobShards::Shard& JobShards::shard_at(std::size_t shard) {
+  if (shards_.size() <= shard) shards_.resize(shard + 1);
+  return shards_[shard];
+}
+
+void JobShards::close(std::size_t shard) { shard_at(shard).closed = true; }
+
+void JobShards::add(const std::string& id, std::size_t shard, std::size_t reserve) {
+  Shard& target = shard_at(shard);
+  if (target.closed) return;
+  target.jobs.insert(id);
+  target.reserved += reserve;
+  locations_[id] = {shard, reserve};
+}
+
+std::size_t JobShards::place(const std::string& id, std::size_t reserve) {
+  if (const auto it = locations_.find(id); it != locations_.end()) return it->second.shard;
+  std::size_t shard = 0;
+  while (shard < shards_.size() &&
+         (shards_[shard].closed || shards_[shard].reserved + reserve > limit_bytes_))
+    ++shard;
+  add(id, shard, reserve);
+  return shard;
+}
+
+void JobShards::set_reserve(const std::string& id, std::size_t reserve) {
+  Location& location = locations_.at(id);
+  Shard& shard = shards_[location.shard];
+  shard.reserved = shard.reserved - location.reserve + reserve;
+  location.reserve = reserve;
+}
+
+}  // namespace sailreel
