--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -232,6 +232,12 @@
   };
   void place_all();
   bool place_job(Job& job);
+  void stop_rest_of_gang(Job& job);
+  bool due(Job& job, std::uint32_t index);
+  std::optional<std::uint32_t> place_tasks(Job& job, bool one_by_one);
+  std::optional<std::uint32_t> place_gang(Job& job);
+  bool warm_room_made(const Job& job, const Machine& m);
+  void bind(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt);
   void unplace(Job& job);
   void note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks);
   [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m, const char* aim) const;
@@ -281,8 +287,20 @@
   // preemption.cpp
   bool make_room(const Job& job, bool warm_only = false);
   bool stop_for(const Job& job, bool warm_only);
+  /// The tasks to be stopped on a machine, and what that loses.
+  struct Eviction {
+    std::vector<Placement*> victims;
+    double cost = 0;
+  };
+  std::optional<Eviction> eviction_on(Machine& m, const Job& job) const;
+  static bool stopped_before(const Placement* a, const Placement* b);
+  [[nodiscard]] double stop_cost(const Placement& p) const;
   bool move_for(const Job& job);
   [[nodiscard]] bool movable(const Placement& p) const;
+  struct PlannedMove {
+    Placement* placement = nullptr;
+    const Machine* to = nullptr;
+  };
   void move(Placement& p, const Machine& from, const Machine& to);
   void move_tick();
   void stop_tick();
@@ -297,12 +315,48 @@
   void take_types(const CloudReply& reply);
   void take_list(const CloudReply& reply);
   void size_fleet();
-  void rent(const std::string& type, const std::string& zone, bool spot, std::uint32_t count);
+  /// A kind of machine: its type, cheap (spot) or ordinary.
+  struct MachineKind {
+    std::string type;
+    bool spot = false;
+    auto operator<=>(const MachineKind&) const = default;
+  };
+  /// Where machines of a kind are rented.
+  struct Market {
+    MachineKind kind;
+    std::string zone;
+    auto operator<=>(const Market&) const = default;
+  };
+  struct FleetSupply {
+    std::map<MachineKind, double> coming;
+    std::map<MachineKind, std::map<std::string, int>> by_zone;
+  };
+  using Demand = std::map<MachineKind, Resources>;
+  /// The size of the ordinary machines that take work, and what work that needs them uses.
+  struct OrdinaryRoom {
+    Resources size, used;
+  };
+  [[nodiscard]] FleetSupply count_supply() const;
+  [[nodiscard]] bool may_rent(const MachineKind& kind, const std::string& zone) const;
+  [[nodiscard]] const MachineType* cheapest_type(const Want& want, bool spot) const;
+  [[nodiscard]] Resources room_freed_by_arrays() const;
+  [[nodiscard]] Resources ordinary_allowance(const OrdinaryRoom& ordinary,
+                                             const FleetSupply& supply) const;
+  Demand demand_of_waiting(const OrdinaryRoom& ordinary, const FleetSupply& supply);
+  static void serve_from(Resources& freed, Unmet& unmet);
+  void limit_to_allowance(const MachineType& type, Resources& allowance, Unmet& unmet);
+  void add_headroom(const OrdinaryRoom& ordinary, Demand& demand) const;
+  void rent_missing(const MachineKind& kind, const Resources& total, FleetSupply& supply);
+  void rent(const MachineKind& kind, const std::string& zone, std::uint32_t count);
   void send_rentals();
+  void take_rental(const std::string& name, const CloudReply& reply);
+  void add_rented(const RentalRequest& request, const std::vector<std::string>& names);
   void return_idle();
-  [[nodiscard]] std::pair<Resources, Resources> ordinary_room() const;
-  void retire(Resources size, const Resources& used);
-  [[nodiscard]] bool spare(const Resources& size, const Resources& used, const Machine& m) const;
+  [[nodiscard]] OrdinaryRoom ordinary_room() const;
+  void retire(OrdinaryRoom ordinary);
+  [[nodiscard]] std::vector<Machine*> machines_to_retire() const;
+  bool empty_machine(Machine& m, Promises& under_way);
+  [[nodiscard]] bool spare(const OrdinaryRoom& ordinary, const Machine& m) const;
   [[nodiscard]] const Machine* warm_room(const Placement& p, const Machine& from,
                                          const Promises& promised) const;
   void send_releases();
@@ -433,7 +487,7 @@
   };
   std::map<std::string, OpenRental> rentals_;
   std::uint64_t next_rental_ = 1;
-  std::map<std::string, Time> refused_;  // type/zone/kind without capacity, until when
+  std::map<Market, Time> no_capacity_until_;
   std::set<std::string> release_queue_;
   std::map<std::string, Time> released_;
   bool releasing_ = false;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -254,7 +254,7 @@
   shards_.clear();
   rentals_.clear();
   release_queue_.clear();
-  refused_.clear();
+  no_capacity_until_.clear();
   unmet_.clear();
   claims_.clear();
   roomy_.clear();
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -19,8 +19,30 @@
 /// No machine is emptied until nothing has waited for an ordinary one for so many workers' leases.
 constexpr Time kRetireLeases = 2;
 
-std::string place_key(const std::string& type, const std::string& zone, bool spot) {
-  return type + "/" + zone + (spot ? "/spot" : "/ordinary");
+/// Where there was no capacity, it is asked for again after a list's lag and this at least.
+constexpr Time kLeastNoCapacity = 2'000;
+constexpr Time kRentalRetry = 1'000;
+
+Resources scaled(const Resources& r, double share) {
+  return {r.cpus * share, r.gpus * share, r.memory_gb * share};
+}
+
+/// How many tasks of that need a machine takes; what they don't need doesn't bound it.
+double slots_on(const Resources& size, const Resources& each) {
+  double slots = 1e9;
+  if (each.cpus > 0) slots = std::min(slots, size.cpus / each.cpus);
+  if (each.gpus > 0) slots = std::min(slots, size.gpus / each.gpus);
+  if (each.memory_gb > 0) slots = std::min(slots, size.memory_gb / each.memory_gb);
+  return slots;
+}
+
+/// How many machines of that size hold so much.
+double machines_for(const Resources& total, const Resources& size) {
+  double machines = 0;
+  if (size.gpus > 0) machines = std::max(machines, total.gpus / size.gpus);
+  if (size.cpus > 0) machines = std::max(machines, total.cpus / size.cpus);
+  if (size.memory_gb > 0) machines = std::max(machines, total.memory_gb / size.memory_gb);
+  return machines;
 }
 }  // namespace
 
@@ -119,215 +141,250 @@
 }
 
 void Core::size_fleet() {
-  const Time now = clock_.now;
-  // Machines still booting, by type and kind; those late aren't counted on any more.
-  std::map<std::pair<std::string, bool>, double> coming;
-  std::map<std::pair<std::string, bool>, std::map<std::string, int>> by_zone;
+  FleetSupply supply = count_supply();
+  const OrdinaryRoom ordinary = ordinary_room();
+  Demand demand = demand_of_waiting(ordinary, supply);
+  add_headroom(ordinary, demand);
+  for (const auto& [kind, total] : demand) rent_missing(kind, total, supply);
+}
+
+// Machines up and still booting. Those that are late aren't counted on any more.
+Core::FleetSupply Core::count_supply() const {
+  FleetSupply supply;
   for (const auto& [name, m] : tables_.machines) {
     if (m->type.empty() || m->releasing) continue;
-    const MachineType* t = tables_.type(m->type);
-    if (t == nullptr) continue;
-    ++by_zone[{m->type, m->spot}][m->zone];
-    if (!m->reported && !zone_away(m->zone) && now - m->rented < ms(t->boot_s * kLateBoot))
-      coming[{m->type, m->spot}] += 1;
+    const MachineType* type = tables_.type(m->type);
+    if (type == nullptr) continue;
+    const MachineKind kind{m->type, m->spot};
+    ++supply.by_zone[kind][m->zone];
+    if (!m->reported && !zone_away(m->zone) &&
+        clock_.now - m->rented < ms(type->boot_s * kLateBoot))
+      supply.coming[kind] += 1;
   }
-  for (const auto& [request, r] : rentals_) {
-    if (!zone_away(r.request.zone)) coming[{r.request.type, r.request.spot}] += r.request.count;
-    by_zone[{r.request.type, r.request.spot}][r.request.zone] += static_cast<int>(r.request.count);
+  for (const auto& [name, rental] : rentals_) {
+    const RentalRequest& request = rental.request;
+    const MachineKind kind{request.type, request.spot};
+    if (!zone_away(request.zone)) supply.coming[kind] += request.count;
+    supply.by_zone[kind][request.zone] += static_cast<int>(request.count);
   }
+  return supply;
+}
 
-  auto [size, used] = ordinary_room();
-
-  // For each kind of waiting work, the cheapest type that takes it.
-  std::map<std::pair<std::string, bool>, Resources> demand;
-  const auto cheapest = [&](const Want& u, bool spot) -> const MachineType* {
-    const MachineType* best = nullptr;
-    double best_price = 0;
-    for (const MachineType& t : tables_.types) {
-      if (!u.any_type && std::find(u.types.begin(), u.types.end(), t.name) == u.types.end())
-        continue;
-      if (!u.each.fits_in(t.size)) continue;
-      double slots = 1e9;
-      if (u.each.cpus > 0) slots = std::min(slots, t.size.cpus / u.each.cpus);
-      if (u.each.gpus > 0) slots = std::min(slots, t.size.gpus / u.each.gpus);
-      if (u.each.memory_gb > 0) slots = std::min(slots, t.size.memory_gb / u.each.memory_gb);
-      bool open = false;
-      for (const std::string& z : t.zones)
-        if ((u.zone.empty() || u.zone == z) && refused_[place_key(t.name, z, spot)] <= now)
-          open = true;
-      if (!open) continue;
-      const double price = (spot ? t.spot_price : t.price) / std::max(1.0, std::floor(slots));
-      if (best == nullptr || price < best_price) {
-        best = &t;
-        best_price = price;
-      }
-    }
-    return best;
-  };
-  // Arrays' tasks end by themselves: by the time that a machine has booted, some of the room that
-  // they take is free for those that wait.
-  Resources relief;
+bool Core::may_rent(const MachineKind& kind, const std::string& zone) const {
+  const auto it = no_capacity_until_.find({kind, zone});
+  return it == no_capacity_until_.end() || it->second <= clock_.now;
+}
+
+// The type that takes such work for the least money, among those that may be rented now.
+const MachineType* Core::cheapest_type(const Want& want, bool spot) const {
+  const MachineType* best = nullptr;
+  double best_price = 0;
+  for (const MachineType& type : tables_.types) {
+    if (!want.any_type &&
+        std::find(want.types.begin(), want.types.end(), type.name) == want.types.end())
+      continue;
+    if (!want.each.fits_in(type.size)) continue;
+    const bool open = std::any_of(type.zones.begin(), type.zones.end(), [&](const auto& zone) {
+      return (want.zone.empty() || want.zone == zone) && may_rent({type.name, spot}, zone);
+    });
+    if (!open) continue;
+    const double slots = std::max(1.0, std::floor(slots_on(type.size, want.each)));
+    const double price = (spot ? type.spot_price : type.price) / slots;
+    if (best != nullptr && price >= best_price) continue;
+    best = &type;
+    best_price = price;
+  }
+  return best;
+}
+
+// Arrays' tasks end by themselves: by the time that a machine has booted, some of the room that
+// they take is free for those that wait.
+Resources Core::room_freed_by_arrays() const {
+  Resources freed;
   for (const auto& [name, m] : tables_.machines) {
-    const MachineType* t = tables_.type(m->type);
-    if (t == nullptr || !usable(*m)) continue;
-    for (const Placement& p : m->placements)
-      if (p.held && p.job != nullptr && p.job->spec().kind != JobKind::Service) {
-        const double share = kRelief * t->boot_s / (t->boot_s + p.job->spec().estimate_s);
-        relief += {p.need.cpus * share, p.need.gpus * share, p.need.memory_gb * share};
-      }
+    const MachineType* type = tables_.type(m->type);
+    if (type == nullptr || !usable(*m)) continue;
+    for (const Placement& p : m->placements) {
+      if (!p.held || p.job == nullptr || p.job->spec().kind == JobKind::Service) continue;
+      const double share = kRelief * type->boot_s / (type->boot_s + p.job->spec().estimate_s);
+      freed += scaled(p.need, share);
+    }
   }
-  // Work that nobody was promised, and that may use cheap machines, waits for these. An ordinary
-  // one is rented for it only as far as the fleet stays within twice its headroom, and one beyond,
-  // so that it gets on where there are no cheap ones: a guest's array once filled a zone's dear
-  // machines.
-  ordinary_awaited_ = false;
+  return freed;
+}
+
+// How much ordinary room may be rented for work that nobody was promised: as far as the fleet stays
+// within twice its headroom.
+Resources Core::ordinary_allowance(const OrdinaryRoom& ordinary, const FleetSupply& supply) const {
   const double most = 1 + 2 * options_.headroom_ratio;
-  Resources beyond{used.cpus * most - size.cpus, used.gpus * most - size.gpus, 0};
-  for (const auto& [kind, count] : coming)
-    if (const MachineType* t = tables_.type(kind.first); t != nullptr && !kind.second) {
-      beyond.cpus -= count * t->size.cpus;
-      beyond.gpus -= count * t->size.gpus;
+  Resources allowance{ordinary.used.cpus * most - ordinary.size.cpus,
+                      ordinary.used.gpus * most - ordinary.size.gpus, 0};
+  for (const auto& [kind, count] : supply.coming)
+    if (const MachineType* type = tables_.type(kind.type); type != nullptr && !kind.spot) {
+      allowance.cpus -= count * type->size.cpus;
+      allowance.gpus -= count * type->size.gpus;
     }
   for (const auto& [name, m] : tables_.machines)
-    if (!m->spot && m->retiring && usable(*m)) beyond -= m->size;
-  for (Unmet u : unmet_) {
-    const Resources& each = u.want.each;
-    if (u.want.spot && u.tasks > 0) {
-      double left = u.tasks;
-      if (each.gpus > 0) left = std::min(left, relief.gpus / each.gpus);
-      if (each.cpus > 0) left = std::min(left, relief.cpus / each.cpus);
-      left = std::floor(std::max(0.0, left));
-      const Resources served{each.cpus * left, each.gpus * left, each.memory_gb * left};
-      relief -= served;
-      u.total -= served;
-    }
-    if (u.want.spot) {
-      if (const MachineType* t = cheapest(u.want, true)) {
-        demand[{t->name, true}] += u.total;
-        continue;
-      }
-    }
-    const MachineType* t = cheapest(u.want, false);
-    if (t == nullptr) continue;
-    if (u.want.spot && !u.guaranteed) {
-      constexpr double kSlack = 1e-6;
-      ordinary_awaited_ = ordinary_awaited_ || (beyond.cpus + t->size.cpus >= -kSlack &&
-                                                beyond.gpus + t->size.gpus >= -kSlack);
-      double share = 1;
-      if (u.total.cpus > 0)
-        share = std::min(share, std::max(0.0, beyond.cpus + t->size.cpus) / u.total.cpus);
-      if (u.total.gpus > 0)
-        share = std::min(share, std::max(0.0, beyond.gpus + t->size.gpus) / u.total.gpus);
-      u.total = {u.total.cpus * share, u.total.gpus * share, u.total.memory_gb * share};
-      beyond -= u.total;
-    }
-    demand[{t->name, false}] += u.total;
-  }
-  // Headroom for services to come, as a share of what such work uses or waits for.
-  for (const Unmet& u : unmet_)
-    if (!u.want.spot) used += u.total;
-  if (!tables_.types.empty() && (used.gpus > 0 || used.cpus > 0)) {
-    if (const MachineType* t = cheapest(Want{}, false)) {
-      // What waits has no room: beside it, all of the headroom is to be added.
-      Resources& d = demand[{t->name, false}];
-      const double share = 1 + options_.headroom_ratio;
-      d.gpus = std::max(d.gpus, used.gpus * share - size.gpus);
-      d.cpus = std::max(d.cpus, used.cpus * share - size.cpus);
+    if (!m->spot && m->retiring && usable(*m)) allowance -= m->size;
+  return allowance;
+}
+
+// For each kind of waiting work, room on the cheapest type that takes it.
+Core::Demand Core::demand_of_waiting(const OrdinaryRoom& ordinary, const FleetSupply& supply) {
+  Demand demand;
+  Resources freed = room_freed_by_arrays();
+  Resources allowance = ordinary_allowance(ordinary, supply);
+  ordinary_awaited_ = false;
+  for (Unmet unmet : unmet_) {
+    if (unmet.want.spot) serve_from(freed, unmet);
+    if (const MachineType* type = unmet.want.spot ? cheapest_type(unmet.want, true) : nullptr) {
+      demand[{type->name, true}] += unmet.total;
+      continue;
     }
+    const MachineType* type = cheapest_type(unmet.want, false);
+    if (type == nullptr) continue;
+    if (unmet.want.spot && !unmet.guaranteed) limit_to_allowance(*type, allowance, unmet);
+    demand[{type->name, false}] += unmet.total;
   }
-  for (const auto& [kind, total] : demand) {
-    const MachineType* t = tables_.type(kind.first);
-    if (t == nullptr) continue;
-    double machines = 0;
-    if (t->size.gpus > 0) machines = std::max(machines, total.gpus / t->size.gpus);
-    if (t->size.cpus > 0) machines = std::max(machines, total.cpus / t->size.cpus);
-    if (t->size.memory_gb > 0) machines = std::max(machines, total.memory_gb / t->size.memory_gb);
-    int want = static_cast<int>(std::ceil(machines - 0.01)) - static_cast<int>(coming[kind]);
-    if (want <= 0) continue;
-    // One by one to the zone that has the fewest, of those within reach if possible.
-    std::map<std::string, std::uint32_t> split;
-    auto& have = by_zone[kind];
-    for (; want > 0; --want) {
-      const std::string* zone = nullptr;
-      for (const std::string& z : t->zones)
-        if (refused_[place_key(t->name, z, kind.second)] <= now &&
-            (zone == nullptr ||
-             std::pair(zone_away(z), have[z]) < std::pair(zone_away(*zone), have[*zone])))
-          zone = &z;
-      if (zone == nullptr) break;
-      ++have[*zone];
-      ++split[*zone];
-    }
-    for (const auto& [zone, count] : split) rent(t->name, zone, kind.second, count);
+  return demand;
+}
+
+// Takes what the freed room will serve off the work that waits.
+void Core::serve_from(Resources& freed, Unmet& unmet) {
+  if (unmet.tasks == 0) return;
+  const Resources& each = unmet.want.each;
+  double tasks = unmet.tasks;
+  if (each.gpus > 0) tasks = std::min(tasks, freed.gpus / each.gpus);
+  if (each.cpus > 0) tasks = std::min(tasks, freed.cpus / each.cpus);
+  const Resources served = scaled(each, std::floor(std::max(0.0, tasks)));
+  freed -= served;
+  unmet.total -= served;
+}
+
+// Work that nobody was promised, and that may use cheap machines, waits for these. Ordinary ones
+// are rented for it within the allowance, and one beyond, so that it gets on where there are no
+// cheap ones: a guest's array once filled a zone's dear machines.
+void Core::limit_to_allowance(const MachineType& type, Resources& allowance, Unmet& unmet) {
+  constexpr double kSlack = 1e-6;
+  const double cpus = allowance.cpus + type.size.cpus;
+  const double gpus = allowance.gpus + type.size.gpus;
+  ordinary_awaited_ = ordinary_awaited_ || (cpus >= -kSlack && gpus >= -kSlack);
+  double share = 1;
+  if (unmet.total.cpus > 0) share = std::min(share, std::max(0.0, cpus) / unmet.total.cpus);
+  if (unmet.total.gpus > 0) share = std::min(share, std::max(0.0, gpus) / unmet.total.gpus);
+  unmet.total = scaled(unmet.total, share);
+  allowance -= unmet.total;
+}
+
+// Headroom for services to come, as a share of what such work uses or waits for.
+void Core::add_headroom(const OrdinaryRoom& ordinary, Demand& demand) const {
+  Resources used = ordinary.used;
+  for (const Unmet& unmet : unmet_)
+    if (!unmet.want.spot) used += unmet.total;
+  if (used.gpus <= 0 && used.cpus <= 0) return;
+  const MachineType* type = cheapest_type(Want{}, false);
+  if (type == nullptr) return;
+  // What waits has no room: beside it, all of the headroom is to be added.
+  Resources& wanted = demand[{type->name, false}];
+  const double share = 1 + options_.headroom_ratio;
+  wanted.gpus = std::max(wanted.gpus, used.gpus * share - ordinary.size.gpus);
+  wanted.cpus = std::max(wanted.cpus, used.cpus * share - ordinary.size.cpus);
+}
+
+// Rents what is missing, one by one in the zone that has the fewest, of those within reach if
+// possible.
+void Core::rent_missing(const MachineKind& kind, const Resources& total, FleetSupply& supply) {
+  const MachineType* type = tables_.type(kind.type);
+  if (type == nullptr) return;
+  constexpr double kSlack = 0.01;
+  const double machines = machines_for(total, type->size);
+  int missing =
+      static_cast<int>(std::ceil(machines - kSlack)) - static_cast<int>(supply.coming[kind]);
+  std::map<std::string, std::uint32_t> split;
+  auto& have = supply.by_zone[kind];
+  for (; missing > 0; --missing) {
+    const std::string* zone = nullptr;
+    for (const std::string& other : type->zones)
+      if (may_rent(kind, other) &&
+          (zone == nullptr ||
+           std::pair(zone_away(other), have[other]) < std::pair(zone_away(*zone), have[*zone])))
+        zone = &other;
+    if (zone == nullptr) break;
+    ++have[*zone];
+    ++split[*zone];
   }
+  for (const auto& [zone, count] : split) rent(kind, zone, count);
 }
 
 // Records a rental; the cloud is asked once that is committed.
-void Core::rent(const std::string& type, const std::string& zone, bool spot, std::uint32_t count) {
+void Core::rent(const MachineKind& kind, const std::string& zone, std::uint32_t count) {
   while (count > 0) {
     const std::uint32_t n = std::min(count, kMaxRental);
     count -= n;
-    OpenRental r;
+    OpenRental rental;
     // The epoch makes the name our own; no other node ever uses it.
-    r.request = {"r-" + std::to_string(epoch_) + "-" + std::to_string(next_rental_++), type, zone,
-                 spot, n};
-    r.since = clock_.now;
-    log(Log::Level::Info, "event=rent request=", r.request.request, " type=", type, " zone=", zone,
-        " spot=", spot ? 1 : 0, " count=", n);
-    rentals_[r.request.request] = std::move(r);
+    const std::string name = "r-" + std::to_string(epoch_) + "-" + std::to_string(next_rental_++);
+    rental.request = {name, kind.type, zone, kind.spot, n};
+    rental.since = clock_.now;
+    log(Log::Level::Info, "event=rent request=", name, " type=", kind.type, " zone=", zone,
+        " spot=", kind.spot ? 1 : 0, " count=", n);
+    rentals_[name] = std::move(rental);
     rentals_dirty_ = true;
   }
 }
 
 void Core::send_rentals() {
-  const Time now = clock_.now;
   const std::uint64_t term = term_;
-  for (auto& [request, rental] : rentals_) {
-    if (!rental.committed || rental.asking || now < rental.retry) continue;
+  for (auto& [name, rental] : rentals_) {
+    if (!rental.committed || rental.asking || clock_.now < rental.retry) continue;
     CloudCall call;
     call.kind = CloudCall::Kind::Rent;
     call.rental = rental.request;
-    const std::string name = request;
     rental.asking = call_cloud(
         call,
-        [this, term, name](const CloudReply& r) {
-          if (term != term_) return;
-          const auto it = rentals_.find(name);
-          if (it == rentals_.end()) return;
-          OpenRental& open = it->second;
-          open.asking = false;
-          const RentalRequest& q = open.request;
-          if (r.status == 200) {
-            for (const std::string& machine : r.names) {
-              if (released_.contains(machine)) continue;
-              Machine& m = tables_.add_machine(machine, clock_.now);
-              if (!m.reported) {
-                m.type = q.type;
-                m.zone = q.zone;
-                m.spot = q.spot;
-                tables_.size_machine(m);
-              }
-            }
-          }
-          if (r.no_capacity || (r.status == 200 && r.names.size() < q.count)) {
-            log(Log::Level::Info, "event=no_capacity request=", name, " got=", r.names.size(),
-                " of=", q.count);
-            refused_[place_key(q.type, q.zone, q.spot)] =
-                clock_.now + std::max<Time>(ms(settings_.market.list_lag_s), 2000);
-          }
-          if (r.status == 200 || r.status == 400 || r.no_capacity) {
-            rentals_.erase(it);
-            rentals_dirty_ = true;
-          } else {
-            // No answer: the same request again, since it may have been carried out.
-            open.retry = clock_.now + 1000;
-          }
+        [this, term, name = name](const CloudReply& reply) {
+          if (term == term_) take_rental(name, reply);
         },
         false);
     if (!rental.asking) return;
   }
 }
 
+void Core::take_rental(const std::string& name, const CloudReply& reply) {
+  const auto it = rentals_.find(name);
+  if (it == rentals_.end()) return;
+  OpenRental& open = it->second;
+  open.asking = false;
+  const RentalRequest& request = open.request;
+  if (reply.status == 200) add_rented(request, reply.names);
+  const bool partly = reply.status == 200 && reply.names.size() < request.count;
+  if (reply.no_capacity || partly) {
+    log(Log::Level::Info, "event=no_capacity request=", name, " got=", reply.names.size(),
+        " of=", request.count);
+    no_capacity_until_[{{request.type, request.spot}, request.zone}] =
+        clock_.now + std::max<Time>(ms(settings_.market.list_lag_s), kLeastNoCapacity);
+  }
+  if (reply.status == 200 || reply.status == 400 || reply.no_capacity) {
+    rentals_.erase(it);
+    rentals_dirty_ = true;
+  } else {
+    // No answer: the same request again, since it may have been carried out.
+    open.retry = clock_.now + kRentalRetry;
+  }
+}
+
+void Core::add_rented(const RentalRequest& request, const std::vector<std::string>& names) {
+  for (const std::string& name : names) {
+    if (released_.contains(name)) continue;
+    Machine& machine = tables_.add_machine(name, clock_.now);
+    if (machine.reported) continue;
+    machine.type = request.type;
+    machine.zone = request.zone;
+    machine.spot = request.spot;
+    tables_.size_machine(machine);
+  }
+}
+
 void Core::drain(Machine& m, const char* why) {
   if (m.draining) return;
   m.draining = true;
@@ -348,7 +405,7 @@
 
 void Core::return_idle() {
   const Time now = clock_.now;
-  auto [size, used] = ordinary_room();
+  OrdinaryRoom ordinary = ordinary_room();
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     if (m.releasing) continue;
@@ -369,96 +426,114 @@
         now - m.idle_since < ms(t->boot_s * options_.idle_ratio))
       continue;
     if (!m.spot) {
-      if (!spare(size, used, m)) continue;
-      size -= m.size;
+      if (!spare(ordinary, m)) continue;
+      ordinary.size -= m.size;
     }
     release(m, "idle");
   }
-  retire(size, used);
+  retire(ordinary);
 }
 
 // True if without the machine more than enough is left.
-bool Core::spare(const Resources& size, const Resources& used, const Machine& m) const {
+bool Core::spare(const OrdinaryRoom& ordinary, const Machine& m) const {
+  const auto& [size, used] = ordinary;
   const double keep = 1 + kReturnHeadroom * options_.headroom_ratio;
   return size.gpus - m.size.gpus >= used.gpus * keep && size.cpus - m.size.cpus >= used.cpus * keep;
 }
 
 // The size of the ordinary machines that take work, and what work that needs them uses; what may be
 // stopped counts as free.
-std::pair<Resources, Resources> Core::ordinary_room() const {
-  Resources size, used;
+Core::OrdinaryRoom Core::ordinary_room() const {
+  OrdinaryRoom room;
   for (const auto& [name, m] : tables_.machines) {
     if (!usable(*m) || m->spot) continue;
-    if (!m->retiring) size += m->size;
+    if (!m->retiring) room.size += m->size;
     for (const Placement& p : m->placements)
-      if (p.held && (p.job == nullptr || !p.job->spec().spot)) used += p.need;
+      if (p.held && (p.job == nullptr || !p.job->spec().spot)) room.used += p.need;
   }
-  return {size, used};
+  return room;
 }
 
 // When more is up than is needed, the machines whose replicas are fewest are emptied: replicas end
 // here and there, and no machine would empty by itself. Each goes where its image lies already.
-void Core::retire(Resources size, const Resources& used) {
-  // Emptied while such work waits for it, a machine was rented again each time.
+void Core::retire(OrdinaryRoom ordinary) {
+  // Demand that comes and goes within seconds once had one machine marked 17 times in a day, and
+  // its replicas moved each time.
   const bool wanted = ordinary_awaited_ || std::any_of(unmet_.begin(), unmet_.end(),
                                                        [](auto& u) { return !u.want.spot; });
+  if (wanted) {
+    retire_not_before_ = clock_.now + kRetireLeases * worker_lease();
+    // Emptied while such work waits for it, a machine was rented again each time.
+    for (auto& [name, m] : tables_.machines) m->retiring = m->retiring && !usable(*m);
+  }
+  if (rebuilding_ || clock_.now < retire_not_before_) return;
   std::size_t up = 0, retiring = 0;
-  // By how many tasks have to end or go.
-  std::vector<std::pair<std::size_t, Machine*>> candidates;
-  for (auto& [name, m] : tables_.machines) {
+  for (const auto& [name, m] : tables_.machines) {
     if (m->spot || !usable(*m)) continue;
     ++up;
-    if (wanted) m->retiring = false;
     retiring += m->retiring ? 1 : 0;
-    if (wanted || m->retiring || m->empty()) continue;
+  }
+  Promises under_way;
+  for (const auto& [task, move] : moves_)
+    if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
+  // As many at a time as the fleet's size allows: one for each look at the fleet was too slow for
+  // hundreds, when demand fell.
+  for (Machine* m : machines_to_retire()) {
+    if (retiring > up / kRetiringShare) return;
+    if (!spare(ordinary, *m) || !empty_machine(*m, under_way)) continue;
+    ordinary.size -= m->size;
+    ++retiring;
+  }
+}
+
+// The machines that might be emptied, those first on which the fewest tasks have to end or go.
+std::vector<Machine*> Core::machines_to_retire() const {
+  struct Candidate {
+    std::size_t tasks;
+    Machine* machine;
+  };
+  std::vector<Candidate> candidates;
+  for (const auto& [name, m] : tables_.machines) {
+    if (m->spot || !usable(*m) || m->retiring || m->empty()) continue;
     Resources moved;
-    std::size_t held = 0;
+    std::size_t tasks = 0;
     bool possible = true;
     for (const Placement& p : m->placements) {
       if (!p.held) continue;
+      ++tasks;
       // An array's task is waited for.
-      ++held;
       if (p.job != nullptr && p.job->spec().kind == JobKind::Array) continue;
       moved += p.need;
       possible = possible && movable(p);
     }
     if (possible && moved.gpus <= m->size.gpus / 2 && moved.cpus <= m->size.cpus / 2)
-      candidates.emplace_back(held, m.get());
+      candidates.push_back({tasks, m.get()});
   }
-  // Demand that comes and goes within seconds once had one machine marked 17 times in a day, and
-  // its replicas moved each time.
-  if (wanted) retire_not_before_ = clock_.now + kRetireLeases * worker_lease();
-  if (rebuilding_ || clock_.now < retire_not_before_) return;
   std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const auto& a, const auto& b) { return a.first < b.first; });
-  Promises under_way;
-  for (const auto& [task, move] : moves_)
-    if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
-  // As many at a time as the fleet's size allows: one for each look at the fleet was too slow for
-  // hundreds, when demand fell.
-  for (const auto& [held, m] : candidates) {
-    if (retiring > up / kRetiringShare) return;
-    if (!spare(size, used, *m)) continue;
-    auto promised = under_way;
-    std::vector<std::pair<Placement*, const Machine*>> plan;
-    bool possible = true;
-    for (Placement& p : m->placements)
-      if (p.held && p.job->spec().kind == JobKind::Service) {
-        // What another machine's emptying has sent here stays.
-        const Machine* to = under_way.contains(m) ? nullptr : warm_room(p, *m, promised);
-        possible = to != nullptr;
-        if (!possible) break;
-        promised[to] += p.need;
-        plan.emplace_back(&p, to);
-      }
-    if (!possible) continue;
-    under_way = std::move(promised);
-    m->retiring = true;
-    size -= m->size;
-    ++retiring;
-    log(Log::Level::Info, "event=retire machine=", m->name, " moves=", plan.size());
-    for (const auto& [p, to] : plan) move(*p, *m, *to);
+                   [](const auto& a, const auto& b) { return a.tasks < b.tasks; });
+  std::vector<Machine*> machines;
+  for (const Candidate& candidate : candidates) machines.push_back(candidate.machine);
+  return machines;
+}
+
+// Marks a machine to be emptied if each of its replicas can move to where its image lies. What is
+// promised there meanwhile is added to `under_way`.
+bool Core::empty_machine(Machine& m, Promises& under_way) {
+  auto promised = under_way;
+  std::vector<PlannedMove> plan;
+  for (Placement& p : m.placements) {
+    if (!p.held || p.job->spec().kind != JobKind::Service) continue;
+    // What another machine's emptying has sent here stays.
+    const Machine* to = under_way.contains(&m) ? nullptr : warm_room(p, m, promised);
+    if (to == nullptr) return false;
+    promised[to] += p.need;
+    plan.push_back({&p, to});
   }
+  under_way = std::move(promised);
+  m.retiring = true;
+  log(Log::Level::Info, "event=retire machine=", m.name, " moves=", plan.size());
+  for (const PlannedMove& step : plan) move(*step.placement, m, *step.to);
+  return true;
 }
 
 void Core::send_releases() {
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -161,73 +161,106 @@
 }
 
 bool Core::place_job(Job& job) {
-  const Time now = clock_.now;
-  TeamBook* team = job.team;
   const bool gang = job.spec().kind == JobKind::Gang;
   if (gang && job.placed + job.unknown > 0) {
-    // A gang that has lost a task is no use: the rest gives way, and it starts again as a whole.
-    if (job.placed > 0 && job.unknown == 0)
-      for (auto& [name, m] : tables_.machines)
-        for (Placement& p : m->placements)
-          if (p.job == &job && p.held && !p.stop) stop_task(p, grace_for(job));
+    if (job.placed > 0 && job.unknown == 0) stop_rest_of_gang(job);
     return false;
   }
   // Of a job that is likely to be a mistake, one task at a time shows whether it still fails.
-  if (job.suspect() && !gang && job.placed > 0) return true;
-  Choice at_once(*this, job, gang), queued(*this, job, true);
-  // A gang's tasks find each other by their attempt, which they share.
-  const std::uint64_t attempt = gang ? attempt_number() : 0;
-  std::uint32_t left = 0, waiting = 0;
+  const bool one_by_one = job.suspect() && !gang;
+  if (one_by_one && job.placed > 0) return true;
+  const std::optional<std::uint32_t> left = gang ? place_gang(job) : place_tasks(job, one_by_one);
+  if (!left) return false;
+  if (*left == 0) return true;
+  note_unmet(job, *job.team, *left);
+  for (std::uint32_t i = 0; i < *left && make_room(job); ++i) {
+  }
+  return false;
+}
+
+// A gang that has lost a task is no use: the rest gives way, and it starts again as a whole.
+void Core::stop_rest_of_gang(Job& job) {
+  for (auto& [name, m] : tables_.machines)
+    for (Placement& p : m->placements)
+      if (p.job == &job && p.held && !p.stop) stop_task(p, grace_for(job));
+}
+
+// True if the task is to be placed by this pass.
+bool Core::due(Job& job, std::uint32_t index) {
+  const Task& task = job.tasks[index];
+  if (task.state != TaskState::Queued) {
+    if (index == job.next_queued) ++job.next_queued;
+    return false;
+  }
+  // What is not due yet is looked at again by a later pass.
+  if (task.not_before > clock_.now) placement_dirty_ = true;
+  return task.not_before <= clock_.now;
+}
+
+// Places what it can of the job's tasks. Returns how many found no room; empty if the team is at
+// its limit.
+std::optional<std::uint32_t> Core::place_tasks(Job& job, bool one_by_one) {
+  Choice at_once(*this, job, false), queued(*this, job, true);
+  std::uint32_t waiting = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
-    Task& task = job.tasks[i];
-    if (task.state != TaskState::Queued) {
-      if (i == job.next_queued) ++job.next_queued;
+    if (!due(job, i)) continue;
+    if (job.team == nullptr || !job.team->allows(job.spec().need)) return {};
+    Machine* m = moved_to(job, i);
+    if (m == nullptr) m = at_once.best();
+    if (m != nullptr && warm_room_made(job, *m)) {
+      ++waiting;
       continue;
     }
-    if (task.not_before > now) {
-      placement_dirty_ = true;  // looked at again by a later pass
+    if (m == nullptr) {
+      // Room there may be, but its machine is busy fetching: that room is kept, and none rented.
+      Machine* later = queued.best();
+      if (later == nullptr) return job.queued - waiting;
+      claims_[later] += job.spec().need;
+      ++waiting;
       continue;
     }
-    if (team == nullptr || !team->allows(job.spec().need)) {
-      if (gang) unplace(job);
-      return false;
+    bind(job, i, *m, attempt_number());
+    if (one_by_one) return 0;
+  }
+  return 0;
+}
+
+// The same of a gang, which starts as a whole or not at all.
+std::optional<std::uint32_t> Core::place_gang(Job& job) {
+  Choice choice(*this, job, true);
+  // Its tasks find each other by their attempt, which they share.
+  const std::uint64_t attempt = attempt_number();
+  for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
+    if (!due(job, i)) continue;
+    if (job.team == nullptr || !job.team->allows(job.spec().need)) {
+      unplace(job);
+      return {};
     }
     Machine* m = moved_to(job, i);
-    if (m == nullptr) m = at_once.best();
-    if (m != nullptr && !gang) {
-      const bool late = late_if_cold(job, *m, "wait");
-      const bool owed = job.guaranteed && late_if_cold(job, *m, "guarantee");
-      if ((late && make_room(job, true)) || ((late || owed) && move_for(job))) {
-        ++waiting;
-        continue;
-      }
-    }
-    if (m == nullptr && !gang) {
-      // Room there is, but its machine is busy fetching: that room is kept, and no machine rented.
-      if (Machine* later = queued.best()) {
-        claims_[later] += job.spec().need;
-        ++waiting;
-        continue;
-      }
-    }
+    if (m == nullptr) m = choice.best();
     if (m == nullptr) {
-      if (gang) unplace(job);
-      left = job.queued - waiting;
-      break;
+      unplace(job);
+      return job.queued;
     }
-    tables_.place(job, i, *m, gang ? attempt : attempt_number(), now);
-    m->idle_since = 0;
-    if (job.record.started <= i) {
-      job.record.started = i + 1;
-      touch(job);
-    }
-    if (job.suspect() && !gang) return true;
-  }
-  if (left == 0) return true;
-  note_unmet(job, *team, left);
-  for (std::uint32_t i = 0; i < left && make_room(job); ++i) {
+    bind(job, i, *m, attempt);
   }
-  return false;
+  return 0;
+}
+
+// Where a fetch would break an aim, room is made on a machine that holds the image, if possible.
+bool Core::warm_room_made(const Job& job, const Machine& m) {
+  const bool late = late_if_cold(job, m, "wait");
+  if (late && make_room(job, true)) return true;
+  const bool owed = job.guaranteed && late_if_cold(job, m, "guarantee");
+  return (late || owed) && move_for(job);
+}
+
+void Core::bind(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt) {
+  tables_.place(job, index, m, attempt, clock_.now);
+  m.idle_since = 0;
+  if (job.record.started > index) return;
+  job.record.started = index + 1;
+  touch(job);
 }
 
 // Adds to what more machines could serve: what the team's limit allows beyond what it has and what
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -94,65 +94,75 @@
 }
 
 bool Core::stop_for(const Job& job, bool warm_only) {
-  const JobSpec& s = job.spec();
   Machine* best = nullptr;
-  std::vector<Placement*> best_victims;
-  double best_cost = 0;
-  for (auto& [name, ptr] : tables_.machines) {
-    Machine& m = *ptr;
+  Eviction best_eviction;
+  for (auto& [name, m] : tables_.machines) {
     ++examined_;
-    if (!open(m) || !tables_.allowed(job, m)) continue;
-    if (warm_only && !m.has_image(s.image)) continue;
-    Resources room = room_to_come(m);
-    std::vector<Placement*> victims;
-    double cost = m.has_image(s.image) ? 0 : 1;
-    if (!s.need.fits_in(room)) {
-      Resources most = room;
-      std::vector<Placement*> candidates;
-      for (Placement& p : m.placements)
-        if (may_stop(job, p)) {
-          candidates.push_back(&p);
-          most += p.need;
-        }
-      if (!s.need.fits_in(most)) continue;
-      // The least important first; of arrays what has run shortest, as that work is lost; of
-      // replicas what has run longest, as a start that is undone at once was none.
-      std::sort(candidates.begin(), candidates.end(), [](const Placement* a, const Placement* b) {
-        if (a->job->spec().priority != b->job->spec().priority)
-          return a->job->spec().priority > b->job->spec().priority;
-        const bool array = a->job->spec().kind != JobKind::Service;
-        if (array != (b->job->spec().kind != JobKind::Service)) return array;
-        return array ? a->running_since > b->running_since : a->running_since < b->running_since;
-      });
-      for (Placement* p : candidates) {
-        if (s.need.fits_in(room)) break;
-        room += p->need;
-        victims.push_back(p);
-        // A replica costs its service a moment; an array's task loses what it hasn't saved.
-        const JobSpec& v = p->job->spec();
-        const double ran = static_cast<double>(clock_.now - p->running_since) / 1000.0;
-        cost += v.kind == JobKind::Service || p->state != PlaceState::Running ? 2
-                : v.checkpoint_s > 0                                          ? 2
-                                     : 1 + 3 * std::min(1.0, ran / std::max(1.0, v.estimate_s));
-      }
-      if (!s.need.fits_in(room)) continue;
-    }
-    if (best == nullptr || cost < best_cost) {
-      best = &m;
-      best_cost = cost;
-      best_victims = std::move(victims);
-    }
+    if (!open(*m) || !tables_.allowed(job, *m)) continue;
+    if (warm_only && !m->has_image(job.spec().image)) continue;
+    std::optional<Eviction> eviction = eviction_on(*m, job);
+    if (!eviction || (best != nullptr && eviction->cost >= best_eviction.cost)) continue;
+    best = m.get();
+    best_eviction = std::move(*eviction);
   }
   if (best == nullptr) return false;
-  claims_[best] += s.need;
-  for (Placement* p : best_victims) {
+  claims_[best] += job.spec().need;
+  for (Placement* p : best_eviction.victims) {
     log(Log::Level::Info, "event=preempt machine=", best->name, " task=", p->key.job, "/",
-        p->key.index, " for=", s.id);
+        p->key.index, " for=", job.spec().id);
     stop_task(*p, grace_for(*p->job));
   }
   return true;
 }
 
+// What would have to be stopped on a machine to make room for one more task of the job; empty if
+// that can't be done there.
+std::optional<Core::Eviction> Core::eviction_on(Machine& m, const Job& job) const {
+  const JobSpec& spec = job.spec();
+  Eviction eviction;
+  eviction.cost = m.has_image(spec.image) ? 0 : 1;
+  Resources room = room_to_come(m);
+  if (spec.need.fits_in(room)) return eviction;
+  Resources most = room;
+  std::vector<Placement*> candidates;
+  for (Placement& p : m.placements)
+    if (may_stop(job, p)) {
+      candidates.push_back(&p);
+      most += p.need;
+    }
+  if (!spec.need.fits_in(most)) return {};
+  std::sort(candidates.begin(), candidates.end(), stopped_before);
+  for (Placement* p : candidates) {
+    if (spec.need.fits_in(room)) break;
+    room += p->need;
+    eviction.victims.push_back(p);
+    eviction.cost += stop_cost(*p);
+  }
+  if (!spec.need.fits_in(room)) return {};
+  return eviction;
+}
+
+// The least important first; of arrays what has run shortest, as that work is lost; of replicas
+// what has run longest, as a start that is undone at once was none.
+bool Core::stopped_before(const Placement* a, const Placement* b) {
+  const JobSpec& first = a->job->spec();
+  const JobSpec& second = b->job->spec();
+  if (first.priority != second.priority) return first.priority > second.priority;
+  const bool array = first.kind != JobKind::Service;
+  if (array != (second.kind != JobKind::Service)) return array;
+  return array ? a->running_since > b->running_since : a->running_since < b->running_since;
+}
+
+// A replica costs its service a moment; an array's task loses what it hasn't saved.
+double Core::stop_cost(const Placement& p) const {
+  constexpr double kReplica = 2, kSaved = 2, kUnsaved = 1, kAllWorkLost = 3;
+  const JobSpec& spec = p.job->spec();
+  if (spec.kind == JobKind::Service || p.state != PlaceState::Running) return kReplica;
+  if (spec.checkpoint_s > 0) return kSaved;
+  const double ran_s = static_cast<double>(clock_.now - p.running_since) / 1000.0;
+  return kUnsaved + kAllWorkLost * std::min(1.0, ran_s / std::max(1.0, spec.estimate_s));
+}
+
 // A replica that can be stopped here to run elsewhere.
 bool Core::movable(const Placement& p) const {
   return p.held && p.job != nullptr && p.job->active() && p.job->spec().kind == JobKind::Service &&
@@ -198,14 +208,14 @@
 bool Core::move_for(const Job& job) {
   const JobSpec& s = job.spec();
   Machine* best = nullptr;
-  std::vector<std::pair<Placement*, const Machine*>> best_plan;
+  std::vector<PlannedMove> best_plan;
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
     ++examined_;
     if (!open(m) || !m.has_image(s.image) || !tables_.allowed(job, m)) continue;
     Resources room = room_to_come(m);
     auto promised = claims_;
-    std::vector<std::pair<Placement*, const Machine*>> plan;
+    std::vector<PlannedMove> plan;
     for (Placement& p : m.placements) {
       if (s.need.fits_in(room) || plan.size() >= kMovesForAStart) break;
       if (!movable(p) || p.job == &job) continue;
@@ -213,7 +223,7 @@
       if (to == nullptr) continue;
       promised[to] += p.need;
       room += p.need;
-      plan.emplace_back(&p, to);
+      plan.push_back({&p, to});
     }
     if (!s.need.fits_in(room)) continue;
     if (best != nullptr && plan.size() >= best_plan.size()) continue;
