--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -157,11 +157,21 @@
   void worker_answer(const WorkerAnswer& input);
   /// Takes in a report; false if it is a late copy.
   bool take_report(const Report& report, bool direct);
+  void first_report(Machine& m, const Report& r);
+  void next_session(Machine& m);
+  void note_address(Machine& m, const std::string& address);
+  void note_heard(Machine& m, const Report& r);
+  void task_not_reported(Machine& m, std::size_t index, std::uint64_t report_seq, bool direct);
+  void take_notice(Machine& m, double notice_s);
   void drop(Machine& m, std::size_t index);
   void drop_unsent(Machine& m);
   void quarantine(Machine& m, const char* why);
   void session_lost(Machine& m, const char* why);
   void take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen);
+  Placement& add_reported(Machine& m, const ReportedTask& t);
+  Placement& add_stray(Machine& m, const ReportedTask& t, Job* job);
+  void task_state(Machine& m, Placement& p, PlaceState state);
+  void note_image(Machine& m, const JobSpec& spec);
   void task_exited(Machine& m, Placement& p);
   void task_failed(Job& job, Machine& m);
   void judge(Machine& m);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -70,35 +70,61 @@
 }
 
 bool Core::take_report(const Report& r, bool direct) {
-  const Time now = clock_.now;
-  Machine& m = tables_.add_machine(r.machine, now);
+  Machine& m = tables_.add_machine(r.machine, clock_.now);
   if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return false;
-  if (!m.reported) {
-    m.came = now;
-    m.zone = r.zone;
-    m.type = r.type;
-    m.spot = r.spot;
-    m.idle_since = now;
-    log(Log::Level::Info, "event=machine_up machine=", m.name, " zone=", m.zone,
-        " spot=", m.spot ? 1 : 0, " session=", r.session, " tasks=", r.tasks.size(),
-        " after_ms=", now - m.rented);
-    placement_dirty_ = true;
-  } else if (r.session > m.session) {
-    // Its lease ran out although we heard it all the time and answered: it doesn't hear us. Until
-    // it has proved otherwise for a while, work given to it would only wait. Reports that a cut
-    // held back and let go at its end prove nothing: they once had half a fleet quarantined.
-    if (now - m.answered < worker_lease() / 2 && now - m.steady_since > worker_lease())
-      quarantine(m, "deaf");
-    session_lost(m, "new session");
-  }
-  if (m.address != r.address) {
-    m.address = r.address;
+  if (!m.reported)
+    first_report(m, r);
+  else if (r.session > m.session)
+    next_session(m);
+  note_address(m, r.address);
+  note_heard(m, r);
+
+  std::vector<bool> seen(m.placements.size(), false);
+  for (const ReportedTask& t : r.tasks) take_task(m, t, seen);
+  for (std::size_t i = seen.size(); i-- > 0;)
+    if (!seen[i]) task_not_reported(m, i, r.seq, direct);
+  // Not before the report is taken in: emptying the machine moves its placements about.
+  if (!m.error_jobs.empty()) judge(m);
+  if (r.notice_s && m.notice_until == 0) take_notice(m, *r.notice_s);
+  if (m.empty() && m.idle_since == 0) m.idle_since = clock_.now;
+  if (!m.empty()) m.idle_since = 0;
+  return true;
+}
+
+void Core::first_report(Machine& m, const Report& r) {
+  m.came = clock_.now;
+  m.zone = r.zone;
+  m.type = r.type;
+  m.spot = r.spot;
+  m.idle_since = clock_.now;
+  log(Log::Level::Info, "event=machine_up machine=", m.name, " zone=", m.zone,
+      " spot=", m.spot ? 1 : 0, " session=", r.session, " tasks=", r.tasks.size(),
+      " after_ms=", clock_.now - m.rented);
+  placement_dirty_ = true;
+}
+
+// Its lease ran out. If we heard it all the time and answered, it doesn't hear us: until it has
+// proved otherwise for a while, work given to it would only wait. Reports that a cut held back and
+// let go at its end prove nothing: they once had half a fleet quarantined.
+void Core::next_session(Machine& m) {
+  const Time now = clock_.now;
+  if (now - m.answered < worker_lease() / 2 && now - m.steady_since > worker_lease())
+    quarantine(m, "deaf");
+  session_lost(m, "new session");
+}
+
+void Core::note_address(Machine& m, const std::string& address) {
+  if (m.address != address) {
+    m.address = address;
     if (m.recorded) dirty_machine_shards_.insert(machine_shard(m.name));
   }
-  if (!m.recorded && !m.record_dirty) {
-    m.record_dirty = true;
-    dirty_machine_shards_.insert(machine_shard(m.name));
-  }
+  if (m.recorded || m.record_dirty) return;
+  m.record_dirty = true;
+  dirty_machine_shards_.insert(machine_shard(m.name));
+}
+
+void Core::note_heard(Machine& m, const Report& r) {
+  const Time now = clock_.now;
   tables_.size_machine(m);
   if (!m.reported || now - m.heard > silent_after()) m.steady_since = now;
   m.reported = true;
@@ -110,44 +136,39 @@
   m.silent = false;
   zone_away_.erase(m.zone);
   m.probe_failures = 0;
-  // An answer to an inquiry renews no lease; but what the worker has at least is unknown to us
-  // when we have only just met it.
+  // An answer to an inquiry renews no lease; but what the worker has at least is unknown to us when
+  // we have only just met it.
   if (m.answered == 0) m.answered = now;
+}
 
-  std::vector<bool> seen(m.placements.size(), false);
-  for (const ReportedTask& t : r.tasks) take_task(m, t, seen);
-  for (std::size_t i = seen.size(); i-- > 0;) {
-    if (seen[i]) continue;
-    Placement& p = m.placements[i];
-    if (p.state == PlaceState::Reserved) continue;
-    if (p.state == PlaceState::Sent) {
-      // A worker has one report in flight at a time, so its next one shows that the answer to the
-      // one before was carried out or dropped. A direct answer shows nothing of the kind.
-      if (direct || r.seq <= p.sent_seq) continue;
-      p.state = PlaceState::Reserved;
-      if (p.sends < kMaxSends) continue;
-      log(Log::Level::Info, "event=start_not_taken machine=", m.name, " task=", p.key.job, "/",
-          p.key.index);
-      quarantine(m, "starts not taken");
-    } else if (p.state != PlaceState::Exited) {
-      log(Log::Level::Info, "event=task_vanished machine=", m.name, " task=", p.key.job, "/",
-          p.key.index, " attempt=", p.attempt);
-    }
-    drop(m, i);
-    placement_dirty_ = true;
-  }
-  // Not before the report is taken in: emptying the machine moves its placements about.
-  if (!m.error_jobs.empty()) judge(m);
-  if (r.notice_s && m.notice_until == 0) {
-    m.notice_until = now + ms(*r.notice_s);
-    drain(m, "notice");
-    for (Placement& p : m.placements)
-      if (p.held && p.job != nullptr && p.job->spec().checkpoint_s > 0)
-        stop_task(p, grace_for(*p.job));
+// A report doesn't show what was placed there.
+void Core::task_not_reported(Machine& m, std::size_t index, std::uint64_t report_seq, bool direct) {
+  Placement& p = m.placements[index];
+  if (p.state == PlaceState::Reserved) return;
+  if (p.state == PlaceState::Sent) {
+    // A worker has one report in flight at a time, so its next one shows that the answer to the one
+    // before was carried out or dropped. A direct answer shows nothing of the kind.
+    if (direct || report_seq <= p.sent_seq) return;
+    p.state = PlaceState::Reserved;
+    if (p.sends < kMaxSends) return;
+    log(Log::Level::Info, "event=start_not_taken machine=", m.name, " task=", p.key.job, "/",
+        p.key.index);
+    quarantine(m, "starts not taken");
+  } else if (p.state != PlaceState::Exited) {
+    log(Log::Level::Info, "event=task_vanished machine=", m.name, " task=", p.key.job, "/",
+        p.key.index, " attempt=", p.attempt);
   }
-  if (m.empty() && m.idle_since == 0) m.idle_since = now;
-  if (!m.empty()) m.idle_since = 0;
-  return true;
+  drop(m, index);
+  placement_dirty_ = true;
+}
+
+// The cloud is about to take the machine back: what can save, saves now.
+void Core::take_notice(Machine& m, double notice_s) {
+  m.notice_until = clock_.now + ms(notice_s);
+  drain(m, "notice");
+  for (Placement& p : m.placements)
+    if (p.held && p.job != nullptr && p.job->spec().checkpoint_s > 0)
+      stop_task(p, grace_for(*p.job));
 }
 
 // Forgets what was placed there; the job may be over with that.
@@ -180,81 +201,93 @@
 }
 
 void Core::take_task(Machine& m, const ReportedTask& t, std::vector<bool>& seen) {
-  const Time now = clock_.now;
   Placement* p = m.find(t.key, t.attempt);
   if (p != nullptr) {
     const auto i = static_cast<std::size_t>(p - m.placements.data());
     if (i < seen.size()) seen[i] = true;
   } else {
-    // Started by a former leader, or come back although we thought it gone.
-    Job* job = tables_.job(t.key.job);
-    const bool fits = job != nullptr && t.key.index < job->tasks.size();
-    const bool on_machine = t.state != RunState::Exited;
-    Task* task = fits ? &job->tasks[t.key.index] : nullptr;
-    if (fits && on_machine &&
-        (task->state == TaskState::Unknown || task->state == TaskState::Queued)) {
-      p = &tables_.place(*job, t.key.index, m, t.attempt, now);
-    } else {
-      Placement extra;
-      extra.key = t.key;
-      extra.attempt = t.attempt;
-      extra.since = now;
-      if (on_machine) {
-        extra.held = true;
-        if (fits) {
-          extra.need = job->spec().need;
-          extra.team = job->team;
-          if (extra.team != nullptr) extra.team->used += extra.need;
-          m.used += extra.need;
-        }
-        log(Log::Level::Info, "event=stray_task machine=", m.name, " task=", t.key.job, "/",
-            t.key.index, " attempt=", t.attempt);
-      } else if (fits) {
-        extra.job = job;
-      }
-      extra.stop = on_machine;
-      m.placements.push_back(std::move(extra));
-      p = &m.placements.back();
-    }
-    // It was there before we knew of it: that its start was carried out needs no proof.
-    p->state = PlaceState::Sent;
-    if (fits && on_machine && !job->active()) stop_task(*p, 0);
+    p = &add_reported(m, t);
   }
   if (p->state == PlaceState::Exited) return;
-  const PlaceState before = p->state;
-  const auto on = [](PlaceState s) { return s == PlaceState::Running || s == PlaceState::Saving; };
-  PlaceState after = before;
   switch (t.state) {
     case RunState::Fetching:
-      after = PlaceState::Fetching;
-      break;
+      return task_state(m, *p, PlaceState::Fetching);
     case RunState::Running:
-      after = PlaceState::Running;
-      break;
+      return task_state(m, *p, PlaceState::Running);
     case RunState::Saving:
-      after = PlaceState::Saving;
-      break;
+      return task_state(m, *p, PlaceState::Saving);
     case RunState::Exited:
       p->cause = t.cause;
-      task_exited(m, *p);
-      return;
+      return task_exited(m, *p);
   }
-  if (after == before) return;
-  p->state = after;
-  p->since = now;
-  if (p->job != nullptr && p->held && on(after) != on(before))
-    p->job->running += on(after) ? 1 : -1;
-  if (on(after) && !on(before)) {
-    p->running_since = now;
-    if (p->job != nullptr) {
-      const JobSpec& spec = p->job->spec();
-      note_fetch_ended(m, spec.image);
-      if (m.recorded && !m.has_image(spec.image)) stale_image_shards_.insert(machine_shard(m.name));
-      m.touch_image(spec.image, spec.image_gb);
+}
+
+// An attempt that we don't know: started by a former leader, or come back although we thought it
+// gone.
+Placement& Core::add_reported(Machine& m, const ReportedTask& t) {
+  Job* job = tables_.job(t.key.job);
+  if (job != nullptr && t.key.index >= job->tasks.size()) job = nullptr;
+  const bool on_machine = t.state != RunState::Exited;
+  const TaskState known = job != nullptr ? job->tasks[t.key.index].state : TaskState::Done;
+  const bool missing = known == TaskState::Unknown || known == TaskState::Queued;
+  Placement& p = job != nullptr && on_machine && missing
+                     ? tables_.place(*job, t.key.index, m, t.attempt, clock_.now)
+                     : add_stray(m, t, job);
+  // It was there before we knew of it: that its start was carried out needs no proof.
+  p.state = PlaceState::Sent;
+  if (job != nullptr && on_machine && !job->active()) stop_task(p, 0);
+  return p;
+}
+
+// An attempt that is not the task's present place: it counts against team and machine, and is
+// stopped.
+Placement& Core::add_stray(Machine& m, const ReportedTask& t, Job* job) {
+  Placement stray;
+  stray.key = t.key;
+  stray.attempt = t.attempt;
+  stray.since = clock_.now;
+  const bool on_machine = t.state != RunState::Exited;
+  if (on_machine) {
+    stray.held = true;
+    if (job != nullptr) {
+      stray.need = job->spec().need;
+      stray.team = job->team;
+      // A team that the settings no longer name has no limit to count against.
+      if (stray.team != nullptr) stray.team->used += stray.need;
+      m.used += stray.need;
     }
-    log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", t.key.job, "/",
+    log(Log::Level::Info, "event=stray_task machine=", m.name, " task=", t.key.job, "/",
         t.key.index, " attempt=", t.attempt);
+  } else {
+    stray.job = job;
   }
+  stray.stop = on_machine;
+  m.placements.push_back(std::move(stray));
+  return m.placements.back();
+}
+
+void Core::task_state(Machine& m, Placement& p, PlaceState state) {
+  if (state == p.state) return;
+  const auto runs = [](PlaceState s) {
+    return s == PlaceState::Running || s == PlaceState::Saving;
+  };
+  const bool ran = runs(p.state);
+  p.state = state;
+  p.since = clock_.now;
+  if (runs(state) == ran) return;
+  if (p.job != nullptr && p.held) p.job->running += ran ? -1 : 1;
+  if (ran) return;
+  p.running_since = clock_.now;
+  if (p.job != nullptr) note_image(m, p.job->spec());
+  log(Log::Level::Debug, "event=task_running machine=", m.name, " task=", p.key.job, "/",
+      p.key.index, " attempt=", p.attempt);
+}
+
+// A task runs, so its machine has its image.
+void Core::note_image(Machine& m, const JobSpec& spec) {
+  note_fetch_ended(m, spec.image);
+  if (m.recorded && !m.has_image(spec.image)) stale_image_shards_.insert(machine_shard(m.name));
+  m.touch_image(spec.image, spec.image_gb);
 }
 
 void Core::note_finished(Job& job, std::uint32_t index, const Machine& m) {
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -26,68 +26,93 @@
   return id;
 }
 
+namespace {
+
+std::optional<JobKind> decode_kind(const json::Document& doc) {
+  std::string word;
+  if (!json::get(doc, "rig", word)) return {};
+  if (word == "sweep") return JobKind::Array;
+  if (word == "service") return JobKind::Service;
+  if (word == "gang") return JobKind::Gang;
+  return {};
+}
+
+std::optional<Priority> decode_priority(const json::Document& doc) {
+  std::string word;
+  if (!json::get(doc, "precedence", word)) return {};
+  if (word == "critical") return Priority::Production;
+  if (word == "urgent") return Priority::High;
+  if (word == "standard") return Priority::Normal;
+  if (word == "best_effort") return Priority::Low;
+  return {};
+}
+
+bool decode_types(const json::Document& doc, JobSpec& spec) {
+  const json::Value* types = json::member(doc, "hulls");
+  if (types == nullptr) return true;
+  if (!types->IsArray() || types->Size() > kMaxTypes) return false;
+  spec.any_type = false;
+  for (const auto& type : types->GetArray()) {
+    if (!type.IsString() || type.GetStringLength() > kMaxName) return false;
+    spec.types.emplace_back(type.GetString(), type.GetStringLength());
+  }
+  return true;
+}
+
+bool decode_task_count(const json::Document& doc, JobSpec& spec) {
+  std::uint64_t count = 0;
+  if (!json::get(doc, "hands", count) || count == 0 || count > kMaxTasks) return false;
+  spec.tasks = static_cast<std::uint32_t>(count);
+  return true;
+}
+
+/// A field that may be null or missing.
+template <typename Decode>
+bool optional_field(const json::Document& doc, const char* key, const Decode& decode) {
+  return json::member(doc, key) == nullptr || decode();
+}
+
+}  // namespace
+
 std::optional<JobSpec> decode_submission(std::string_view body, std::string& error) {
   json::Document doc;
   JobSpec s;
-  auto fail = [&](const char* what) {
-    error = what;
-    return std::optional<JobSpec>();
+  const auto valid = [&](bool ok, const char* field) {
+    if (!ok && error.empty()) error = field;
   };
-  if (!json::parse_object(body, doc)) return fail("not a JSON object");
-  if (!json::get(doc, "id", s.id) || !valid_job_id(s.id)) return fail("id");
-  if (!name(doc, "berth", s.job_class)) return fail("berth");
-  if (!name(doc, "crew", s.team)) return fail("crew");
-  std::string word;
-  if (!json::get(doc, "rig", word)) return fail("rig");
-  if (word == "sweep") {
-    s.kind = JobKind::Array;
-  } else if (word == "service") {
-    s.kind = JobKind::Service;
-  } else if (word == "gang") {
-    s.kind = JobKind::Gang;
-  } else {
-    return fail("rig");
-  }
-  if (!json::get(doc, "precedence", word)) return fail("precedence");
-  if (word == "critical") {
-    s.priority = Priority::Production;
-  } else if (word == "urgent") {
-    s.priority = Priority::High;
-  } else if (word == "standard") {
-    s.priority = Priority::Normal;
-  } else if (word == "best_effort") {
-    s.priority = Priority::Low;
-  } else {
-    return fail("precedence");
-  }
-  std::uint64_t count = 0;
-  if (!json::get(doc, "hands", count) || count == 0 || count > kMaxTasks) return fail("hands");
-  s.tasks = static_cast<std::uint32_t>(count);
-  if (!json::get(doc, "cores", s.need.cpus)) return fail("cores");
-  if (!json::get(doc, "cards", s.need.gpus)) return fail("cards");
-  if (!json::get(doc, "ram_gb", s.need.memory_gb)) return fail("ram_gb");
-  if (!name(doc, "cargo", s.image)) return fail("cargo");
-  if (!json::get(doc, "pull_gb", s.image_gb)) return fail("pull_gb");
-  if (const json::Value* types = json::member(doc, "hulls")) {
-    if (!types->IsArray() || types->Size() > kMaxTypes) return fail("hulls");
-    s.any_type = false;
-    for (const auto& t : types->GetArray()) {
-      if (!t.IsString() || t.GetStringLength() > kMaxName) return fail("hulls");
-      s.types.emplace_back(t.GetString(), t.GetStringLength());
-    }
-  }
-  if (json::member(doc, "harbor") != nullptr && !name(doc, "harbor", s.zone)) return fail("harbor");
-  if (!json::get(doc, "together", s.one_zone)) return fail("together");
-  if (!json::get(doc, "spread", s.spread)) return fail("spread");
-  if (!json::get(doc, "driftwood", s.spot)) return fail("driftwood");
-  if (!json::get(doc, "voyage_s", s.estimate_s)) return fail("voyage_s");
-  if (!json::get(doc, "logbook_s", s.checkpoint_s)) return fail("logbook_s");
-  if (!json::get(doc, "stow_s", s.save_s)) return fail("stow_s");
-  if (json::member(doc, "landfall_s") != nullptr) {
-    double deadline = 0;
-    if (!json::get(doc, "landfall_s", deadline)) return fail("landfall_s");
-    s.deadline_s = deadline;
+  error.clear();
+  if (!json::parse_object(body, doc)) {
+    error = "not a JSON object";
+    return {};
   }
+  valid(json::get(doc, "id", s.id) && valid_job_id(s.id), "id");
+  valid(name(doc, "berth", s.job_class), "berth");
+  valid(name(doc, "crew", s.team), "crew");
+  const std::optional<JobKind> kind = decode_kind(doc);
+  valid(kind.has_value(), "rig");
+  const std::optional<Priority> priority = decode_priority(doc);
+  valid(priority.has_value(), "precedence");
+  valid(decode_task_count(doc, s), "hands");
+  valid(json::get(doc, "cores", s.need.cpus), "cores");
+  valid(json::get(doc, "cards", s.need.gpus), "cards");
+  valid(json::get(doc, "ram_gb", s.need.memory_gb), "ram_gb");
+  valid(name(doc, "cargo", s.image), "cargo");
+  valid(json::get(doc, "pull_gb", s.image_gb), "pull_gb");
+  valid(decode_types(doc, s), "hulls");
+  valid(optional_field(doc, "harbor", [&] { return name(doc, "harbor", s.zone); }), "harbor");
+  valid(json::get(doc, "together", s.one_zone), "together");
+  valid(json::get(doc, "spread", s.spread), "spread");
+  valid(json::get(doc, "driftwood", s.spot), "driftwood");
+  valid(json::get(doc, "voyage_s", s.estimate_s), "voyage_s");
+  valid(json::get(doc, "logbook_s", s.checkpoint_s), "logbook_s");
+  valid(json::get(doc, "stow_s", s.save_s), "stow_s");
+  double deadline = 0;
+  const bool has_deadline = json::member(doc, "landfall_s") != nullptr;
+  valid(!has_deadline || json::get(doc, "landfall_s", deadline), "landfall_s");
+  if (!error.empty()) return {};
+  s.kind = *kind;
+  s.priority = *priority;
+  if (has_deadline) s.deadline_s = deadline;
   return s;
 }
 
--- a/src/protocol/user_codec.hpp
+++ b/src/protocol/user_codec.hpp
@@ -9,7 +9,7 @@
 
 namespace sailreel {
 
-constexpr std::size_t kMaxBody = 64 * 1024;
+constexpr std::size_t kMaxBody = std::size_t{64} * 1024;
 
 bool valid_job_id(std::string_view id);
 /// The job id of a submission, as far as it can be read: a repeat of an accepted job is recognised
--- a/src/storage/checkpoint.cpp
+++ b/src/storage/checkpoint.cpp
@@ -85,7 +85,7 @@
   return number_after(key, kShardPrefix);
 }
 std::string bitmap_key(const std::string& job, std::size_t piece) {
-  return numbered(("sr/b/" + job + "/").c_str(), piece);
+  return numbered((kBitmapPrefix + job + "/").c_str(), piece);
 }
 std::string machines_key(std::size_t shard) { return numbered(kMachinesPrefix, shard); }
 
@@ -241,23 +241,7 @@
     return;
   }
   unreadable.erase(key);
-  if (key.starts_with("sr/b/")) {
-    const auto slash = key.rfind('/');
-    const std::string job = key.substr(5, slash - 5);
-    const auto piece = number_after(key, key.substr(0, slash + 1));
-    if (!piece) return;
-    if (item.deleted) {
-      pieces.erase({job, *piece});
-      return;
-    }
-    json::Document doc;
-    std::string digits;
-    if (json::parse_object(item.value, doc) && json::get(doc, "h", digits))
-      pieces[{job, *piece}] = digits;
-    else
-      unreadable.insert(key);
-    return;
-  }
+  if (key.starts_with(kBitmapPrefix)) return apply_piece(item);
   if (item.deleted) {
     if (const auto shard = number_after(key, kMachinesPrefix)) machines.erase(*shard);
     return;
@@ -265,51 +249,73 @@
   json::Document doc;
   if (!json::parse_object(item.value, doc)) {
     unreadable.insert(key);
-    return;
-  }
-  if (key == kEpochKey) {
+  } else if (key == kEpochKey) {
     if (json::get(doc, "epoch", epoch))
       epoch_version = item.version;
     else
       unreadable.insert(key);
+  } else if (const auto shard = number_after(key, kMachinesPrefix)) {
+    apply_machines(doc, key, *shard);
+  } else if (key == kHeadKey) {
+    apply_head(doc, item.version);
+  } else if (shard_number(key)) {
+    apply_jobs(doc, key);
+  }
+}
+
+void Image::apply_piece(const StateItem& item) {
+  const std::string& key = item.key;
+  const auto slash = key.rfind('/');
+  const std::string_view prefix = kBitmapPrefix;
+  const std::string job = key.substr(prefix.size(), slash - prefix.size());
+  const auto piece = number_after(key, key.substr(0, slash + 1));
+  if (!piece) return;
+  if (item.deleted) {
+    pieces.erase({job, *piece});
     return;
   }
-  if (const auto shard = number_after(key, kMachinesPrefix)) {
-    auto& list = machines[*shard];
-    list.clear();
-    const json::Value* m = json::member(doc, "m");
-    if (m == nullptr || !m->IsArray()) {
-      unreadable.insert(key);
-      return;
-    }
-    for (const auto& v : m->GetArray()) {
-      if (!v.IsArray() || v.Size() < 2 || !v[0].IsString()) {
-        unreadable.insert(key);
-        continue;
-      }
-      MachineRecord r{as_text(v[0]), as_text(v[1]), {}};
-      for (rapidjson::SizeType i = 2; i + 1 < v.Size(); i += 2)
-        if (v[i + 1].IsNumber()) r.images.push_back({as_text(v[i]), v[i + 1].GetDouble()});
-      list.push_back(std::move(r));
-    }
+  json::Document doc;
+  std::string digits;
+  if (json::parse_object(item.value, doc) && json::get(doc, "h", digits))
+    pieces[{job, *piece}] = digits;
+  else
+    unreadable.insert(key);
+}
+
+void Image::apply_machines(const json::Document& doc, const std::string& key, std::size_t shard) {
+  auto& list = machines[shard];
+  list.clear();
+  const json::Value* values = json::member(doc, "m");
+  if (values == nullptr || !values->IsArray()) {
+    unreadable.insert(key);
     return;
   }
-  if (key == kHeadKey) {
-    if (!json::get(doc, "q", head.seq) || !json::get(doc, "e", head.epoch)) unreadable.insert(key);
-    head_version = item.version;
-    head.rentals.clear();
-    in_head.clear();
-    if (const json::Value* r = json::member(doc, "r"); r != nullptr && r->IsArray())
-      for (const auto& v : r->GetArray())
-        if (v.IsArray() && v.Size() == 5 && v[3].IsBool() && v[4].IsUint())
-          head.rentals.push_back(
-              {as_text(v[0]), as_text(v[1]), as_text(v[2]), v[3].GetBool(), v[4].GetUint()});
-    apply_jobs(doc, key);
-  } else if (shard_number(key)) {
-    apply_jobs(doc, key);
+  for (const auto& v : values->GetArray()) {
+    if (!v.IsArray() || v.Size() < 2 || !v[0].IsString()) {
+      unreadable.insert(key);
+      continue;
+    }
+    MachineRecord record{as_text(v[0]), as_text(v[1]), {}};
+    for (rapidjson::SizeType i = 2; i + 1 < v.Size(); i += 2)
+      if (v[i + 1].IsNumber()) record.images.push_back({as_text(v[i]), v[i + 1].GetDouble()});
+    list.push_back(std::move(record));
   }
 }
 
+void Image::apply_head(const json::Document& doc, std::uint64_t version) {
+  if (!json::get(doc, "q", head.seq) || !json::get(doc, "e", head.epoch))
+    unreadable.insert(kHeadKey);
+  head_version = version;
+  head.rentals.clear();
+  in_head.clear();
+  if (const json::Value* rentals = json::member(doc, "r"); rentals != nullptr && rentals->IsArray())
+    for (const auto& v : rentals->GetArray())
+      if (v.IsArray() && v.Size() == 5 && v[3].IsBool() && v[4].IsUint())
+        head.rentals.push_back(
+            {as_text(v[0]), as_text(v[1]), as_text(v[2]), v[3].GetBool(), v[4].GetUint()});
+  apply_jobs(doc, kHeadKey);
+}
+
 // The jobs that lie in the head or in a shard.
 void Image::apply_jobs(const json::Document& doc, const std::string& key) {
   const auto shard = shard_number(key);
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -29,6 +29,7 @@
 
 inline constexpr const char* kShardPrefix = "sr/s/";
 inline constexpr const char* kMachinesPrefix = "sr/m/";
+inline constexpr const char* kBitmapPrefix = "sr/b/";
 
 /// Share of a value's limit that is used, so that a miscounted byte is no refused write.
 inline constexpr double kValueFill = 0.85;
@@ -141,6 +142,9 @@
   std::set<std::string> unreadable;
 
  private:
+  void apply_piece(const StateItem& item);
+  void apply_machines(const json::Document& doc, const std::string& key, std::size_t shard);
+  void apply_head(const json::Document& doc, std::uint64_t version);
   void apply_jobs(const json::Document& doc, const std::string& key);
 };
 
