--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -64,7 +64,7 @@
 
   void feed(Input input) {
     for (Action& action : core_.step(clock(), std::move(input)))
-      std::visit([this](auto& a) { act(a); }, action);
+      std::visit([this](auto& a) { this->act(a); }, action);
   }
 
   void sweep() {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -41,6 +41,8 @@
 
 }  // namespace
 
+// CLI11 and spdlog may throw anything; an exception that is not caught below ends the process.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int argc, char** argv) {
   CLI::App app{"sailreel: a scheduler for fleets that serve language models"};
   app.set_version_flag("--version", "sailreel " SAILREEL_VERSION);
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -75,7 +75,7 @@
   void learn_leader(const StateItem* item);
   void campaign();
   void claim(std::uint64_t lease, Time granted);
-  void load(std::string from, std::uint64_t revision);
+  void load(const std::string& from, std::uint64_t revision);
   void renew();
   void step_down(const char* why);
   void revoke(std::uint64_t lease);
@@ -99,7 +99,7 @@
   void intake_tick();
   void look_up(const Origin& origin, const std::string& id);
   void refresh();
-  void refresh_list(std::string from, std::uint64_t revision);
+  void refresh_list(const std::string& from, std::uint64_t revision);
   void finish_lookups(bool ok);
   [[nodiscard]] JobView view(const Job& job) const;
   [[nodiscard]] JobView view(const std::string& id, const FinishedJob& job) const;
@@ -268,6 +268,7 @@
     struct Entry {
       Fit fit;
       std::size_t index = 0;  // among the roomy; the first of equals is taken
+      // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 mistakes the generated comparison
       auto operator<=>(const Entry&) const = default;
     };
     void begin();
@@ -329,12 +330,14 @@
   struct MachineKind {
     std::string type;
     bool spot = false;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above
     auto operator<=>(const MachineKind&) const = default;
   };
   /// Where machines of a kind are rented.
   struct Market {
     MachineKind kind;
     std::string zone;
+    // NOLINTNEXTLINE(modernize-use-nullptr): as above
     auto operator<=>(const Market&) const = default;
   };
   struct FleetSupply {
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -167,7 +167,7 @@
 }
 
 // Reads the whole checkpoint. Nobody else can change it any more: the epoch is ours.
-void Core::load(std::string from, std::uint64_t revision) {
+void Core::load(const std::string& from, std::uint64_t revision) {
   const std::uint64_t term = term_;
   StateCall list;
   list.kind = StateCall::Kind::List;
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -512,6 +512,7 @@
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const auto& a, const auto& b) { return a.tasks < b.tasks; });
   std::vector<Machine*> machines;
+  machines.reserve(candidates.size());
   for (const Candidate& candidate : candidates) machines.push_back(candidate.machine);
   return machines;
 }
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -245,7 +245,7 @@
   if (!sent) finish_lookups(false);
 }
 
-void Core::refresh_list(std::string from, std::uint64_t revision) {
+void Core::refresh_list(const std::string& from, std::uint64_t revision) {
   const std::uint64_t term = term_;
   StateCall list;
   list.kind = StateCall::Kind::List;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -59,7 +59,7 @@
 
  private:
   static const http_parser_settings& handlers() {
-    static const http_parser_settings settings = [] {
+    static const http_parser_settings kHandlers = [] {
       http_parser_settings s;
       http_parser_settings_init(&s);
       s.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -72,13 +72,13 @@
       };
       return s;
     }();
-    return settings;
+    return kHandlers;
   }
 
   void finish() {
     auto done = std::move(done_);
     done_ = nullptr;
-    const int status = parser_.status_code;
+    const auto status = static_cast<int>(parser_.status_code);
     const std::string body = std::move(body_);
     body_.clear();
     client_.busy_.erase(this);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kMaxUrl = 1024;
 /// Unread input that a client may pile up while its request is being answered.
-constexpr std::size_t kMaxHeld = 128 * 1024;
+constexpr std::size_t kMaxHeld = std::size_t{128} * 1024;
 
 const char* reason(int status) { return http_status_str(static_cast<http_status>(status)); }
 
@@ -92,7 +92,7 @@
   }
 
   static const http_parser_settings& handlers() {
-    static const http_parser_settings settings = [] {
+    static const http_parser_settings kHandlers = [] {
       http_parser_settings s;
       http_parser_settings_init(&s);
       s.on_message_begin = [](http_parser* p) {
@@ -120,7 +120,7 @@
       };
       return s;
     }();
-    return settings;
+    return kHandlers;
   }
   static Connection* self(http_parser* p) { return static_cast<Connection*>(p->data); }
 
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -5,7 +5,7 @@
 namespace sailreel {
 namespace {
 /// A link that has fallen so far behind is closed: what it holds is too old to be of use.
-constexpr std::size_t kMaxBacklog = 1024 * 1024;
+constexpr std::size_t kMaxBacklog = std::size_t{1024} * 1024;
 }  // namespace
 
 class PeerLinks::Connection : public Stream {
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -208,7 +208,7 @@
       EXPECT_TRUE(tables.finished.contains(job_id(n))) << seed << " " << n;
     const auto busy = busy_machines(world);
     ASSERT_FALSE(busy.empty());
-    const std::string bad = busy.front();
+    const std::string& bad = busy.front();
     world.make_faulty(bad);
     for (std::size_t n = 40; n < 56; ++n) {
       world.submit(array(job_id(n), 2, 6));
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -38,7 +38,7 @@
   for (const auto& [k, v] : fields) {
     const std::string& use = k == field ? value : v;
     if (use.empty()) continue;
-    out += (out.size() > 1 ? ",\"" : "\"") + k + "\":" + use;
+    out.append(out.size() > 1 ? ",\"" : "\"").append(k).append("\":").append(use);
   }
   return out + ",\"unheard_of\":[1]}";
 }
--- a/tests/sim/scenes.hpp
+++ b/tests/sim/scenes.hpp
@@ -44,6 +44,7 @@
   std::function<void(World&, std::uint64_t seed)> play;
   Time boots_ms = 0;
 };
+// NOLINTNEXTLINE(readability-identifier-naming): GoogleTest looks for this name
 inline void PrintTo(const Scene& scene, std::ostream* out) { *out << scene.name; }
 inline std::string scene_name(const ::testing::TestParamInfo<Scene>& p) { return p.param.name; }
 
--- a/tests/sim/stand_ins.hpp
+++ b/tests/sim/stand_ins.hpp
@@ -18,7 +18,7 @@
   using Reply = std::function<void(StateReply)>;
 
   bool outage = false;
-  std::size_t value_limit = 8 * 1024, ops_limit = 16;
+  std::size_t value_limit = std::size_t{8} * 1024, ops_limit = 16;
   std::size_t largest_watch = 0;  // in bytes of values
   std::uint64_t malformed = 0;    // requests beyond the limits; ours must never be
   std::uint64_t refused_writes = 0;
@@ -146,7 +146,7 @@
       bytes += p.key.size() + p.value.size() + 40;
       if (p.value.size() > value_limit) return ++malformed, 400;
     }
-    if (bytes > 64 * 1024 || call.puts.size() + call.deletes.size() > ops_limit ||
+    if (bytes > std::size_t{64} * 1024 || call.puts.size() + call.deletes.size() > ops_limit ||
         call.conditions.size() > 4 * ops_limit)
       return ++malformed, 400;
     for (const auto& p : call.puts)
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -255,7 +255,7 @@
       return cut_zone(random_(2) == 0 ? "za" : "zb", longer, hold);
     case 14:  // leaders change again and again
       for (int n = 0; n < 5; ++n)
-        at(now_ + n * 3'000, [this] {
+        at(now_ + Time{3'000} * n, [this] {
           if (const int next = leader(); next >= 0) kill(static_cast<std::size_t>(next), 700);
         });
       return;
@@ -270,77 +270,83 @@
   for (std::uint32_t n = 0; n < count; ++n) {
     const Time when = plan_.troubles_from + random_(span);
     const std::uint32_t kind = random_(16);
-    at(when, [this, kind] {
-      const auto node = random_(3);
-      const int lead = leader();
-      const std::size_t target =
-          lead >= 0 && random_(2) == 0 ? static_cast<std::size_t>(lead) : node;
-      const auto up = machines_up();
-      const std::string machine =
-          up.empty() ? "" : up[random_(static_cast<std::uint32_t>(up.size()))];
-      const Time span_ms = 2'000 + random_(25'000);
-      const bool hold = random_(2) == 0;
-      switch (kind) {
-        case 0:
-          kill(target, random_(3) == 0 ? 200 : 6'000);
-          break;
-        case 1:
-          for (std::size_t i = 0; i < 3; ++i) kill(i, 6'000);
-          break;
-        case 2:  // from everything
-          for (const std::string& other :
-               {std::string("state"), std::string("cloud"), std::string("users"),
-                node_name((target + 1) % 3), node_name((target + 2) % 3)})
-            cut(node_name(target), other, span_ms, hold);
-          for (const auto& m : up) cut(node_name(target), m, span_ms, hold);
-          break;
-        case 3:
-          cut(node_name(target), "state", span_ms, hold);
-          break;
-        case 4:
-          for (const auto& m : up) cut(node_name(target), m, span_ms, hold);
-          break;
-        case 5:
-          refuse_state(target, span_ms);
-          break;
-        case 6:
-          state_outage(5'000 + random_(12'000));
-          break;
-        case 7:  // from the state service and the other controllers, but not from the workers
-          isolate(target, span_ms, hold);
-          break;
-        case 8:
-          if (!machine.empty()) {
-            cloud_.machines.erase(machine);
-            kill_machine(machine);
-          }
-          break;
-        case 12:  // one machine, from all controllers
-        case 13:
-          for (std::size_t i = 0; i < 3; ++i)
-            if (!machine.empty()) cut(node_name(i), machine, span_ms, hold);
-          break;
-        case 14:
-          cut_zone(random_(2) == 0 ? "za" : "zb", span_ms, hold);
-          break;
-        case 15:
-          freeze(target, span_ms);
-          break;
-        case 9:
-          if (!machine.empty()) hang_machine(machine, span_ms);
-          break;
-        case 10:
-          if (!machine.empty()) deafen_machine(machine, span_ms);
-          break;
-        default:
-          // One machine is taken back; where there are many, a wave of them.
-          for (std::size_t k = 0; k < up.size();
-               k += std::max<std::size_t>(1, up.size() / plan_.scale))
-            notice_machine(k == 0 ? machine : up[k], 5'000);
-          break;
-      }
-    });
+    at(when, [this, kind] { trouble(kind); });
   }
 }
 
+// Kinds 0 to 7 and 15 are of controllers and the state service, the others of machines.
+void World::trouble(std::uint32_t kind) {
+  const auto node = random_(3);
+  const int lead = leader();
+  const std::size_t target = lead >= 0 && random_(2) == 0 ? static_cast<std::size_t>(lead) : node;
+  const auto up = machines_up();
+  const std::string machine = up.empty() ? "" : up[random_(static_cast<std::uint32_t>(up.size()))];
+  const Time span_ms = 2'000 + random_(25'000);
+  const bool hold = random_(2) == 0;
+  if (kind <= 7 || kind == 15)
+    controller_trouble(kind, target, span_ms, hold);
+  else
+    machine_trouble(kind, machine, span_ms, hold);
+}
+
+void World::controller_trouble(std::uint32_t kind, std::size_t target, Time span_ms, bool hold) {
+  const std::string name = node_name(target);
+  const auto cut_from_workers = [&] {
+    for (const auto& machine : machines_up()) cut(name, machine, span_ms, hold);
+  };
+  switch (kind) {
+    case 0:
+      return kill(target, random_(3) == 0 ? 200 : 6'000);
+    case 1:
+      for (std::size_t i = 0; i < 3; ++i) kill(i, 6'000);
+      return;
+    case 2:  // from everything
+      for (const std::string& other :
+           {std::string("state"), std::string("cloud"), std::string("users"),
+            node_name((target + 1) % 3), node_name((target + 2) % 3)})
+        cut(name, other, span_ms, hold);
+      return cut_from_workers();
+    case 3:
+      return cut(name, "state", span_ms, hold);
+    case 4:
+      return cut_from_workers();
+    case 5:
+      return refuse_state(target, span_ms);
+    case 6:
+      return state_outage(5'000 + random_(12'000));
+    case 7:  // from the state service and the other controllers, but not from the workers
+      return isolate(target, span_ms, hold);
+    default:
+      return freeze(target, span_ms);
+  }
+}
+
+void World::machine_trouble(std::uint32_t kind, const std::string& machine, Time span_ms,
+                            bool hold) {
+  if (kind == 14) return cut_zone(random_(2) == 0 ? "za" : "zb", span_ms, hold);
+  if (machine.empty()) return;
+  switch (kind) {
+    case 8:
+      cloud_.machines.erase(machine);
+      return kill_machine(machine);
+    case 9:
+      return hang_machine(machine, span_ms);
+    case 10:
+      return deafen_machine(machine, span_ms);
+    case 12:  // one machine, from all controllers
+    case 13:
+      for (std::size_t i = 0; i < 3; ++i) cut(node_name(i), machine, span_ms, hold);
+      return;
+    default:
+      return take_back(machine);
+  }
+}
+
+// One machine is taken back; where there are many, a wave of them.
+void World::take_back(const std::string& machine) {
+  const auto up = machines_up();
+  for (std::size_t k = 0; k < up.size(); k += std::max<std::size_t>(1, up.size() / plan_.scale))
+    notice_machine(k == 0 ? machine : up[k], 5'000);
+}
+
 }  // namespace sailreel::sim
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -65,14 +65,12 @@
   ++u.turn;
   if (u.over && now_ - u.first > plan_.length) return;
   UserOp op = UserOp::Query;
-  if (!u.accepted) {
-    op = UserOp::Submit;
-  } else if (u.cancel_at > 0 && now_ >= u.cancel_at && !u.over) {
+  if (u.accepted && u.cancel_at > 0 && now_ >= u.cancel_at && !u.over) {
     op = UserOp::Cancel;
     u.cancelling = true;
     checker_.cancel_asked(u.spec.id);
-  } else if (u.over && random_(4) == 0) {
-    op = UserOp::Submit;  // a repeat, long after
+  } else if (!u.accepted || (u.over && random_(4) == 0)) {
+    op = UserOp::Submit;  // at first, and at times again long after
   }
   std::vector<std::size_t> healthy;
   for (std::size_t i = 0; i < nodes_.size(); ++i)
@@ -130,7 +128,7 @@
 
 // One question more; what it brings binds all nodes from then on.
 void World::ask_for(const std::string& id, std::size_t node, UserOp op,
-                    std::function<void(int)> then) {
+                    const std::function<void(int)>& then) {
   const auto it = by_job_.find(id);
   const std::string body = it == by_job_.end() ? "" : users_[it->second]->body;
   const Time asked = now_;
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -73,50 +73,55 @@
   const double lease = settings_[0].workers.lease_s * 1000;
   if (static_cast<double>(now_ - w.last_ok_sent) * w.drift > lease) lapse(w);
   for (auto& [key, list] : w.tasks)
-    for (WorkTask& t : list) {
-      ReportedTask& r = t.report;
-      const auto end = [&](ExitCause cause) {
-        if (t.on) ended(r.key, w.machine.name, cause == ExitCause::Done);
-        t.on = false;
-        r.state = RunState::Exited;
-        r.cause = cause;
-        w.changed = true;
-      };
-      if (r.state == RunState::Fetching && now_ >= t.image_at) {
-        r.state = RunState::Running;
-        t.on = true;
-        w.changed = true;
-        checker_.started(r.key, {name, w.machine.type, w.machine.zone, w.machine.spot}, now_);
-        if (const User* u = user_of(r.key.job)) {
-          w.images.insert(u->spec.image);
-          if (u->spec.kind == JobKind::Array)
-            t.done_at = w.done.contains(r.key.job + "/" + std::to_string(r.key.index))
-                            ? now_
-                            : now_ + static_cast<Time>(u->spec.estimate_s * (500 + random_(1000)));
-          if (t.done_at > 0 && strikes(cancel_at_end_))
-            at(t.done_at - 50 + random_(200),
-               [this, id = u->spec.id] { call_off(by_job_.at(id)); });
-        }
-      }
-      if (r.state == RunState::Running && now_ >= t.image_at + 300 &&
-          (mistaken_.contains(r.key.job) || faulty_.contains(name))) {
-        end(ExitCause::Error);
-      } else if (r.state == RunState::Running && t.done_at > 0 && now_ >= t.done_at) {
-        w.done.insert(r.key.job + "/" + std::to_string(r.key.index));
-        end(ExitCause::Done);
-        completed(r.key);
-        if (on_completed) on_completed(r.key, name);
-      }
-      if (r.state == RunState::Saving && now_ >= t.exits_at) {
-        r.saved = true;
-        end(ExitCause::Stopped);
-      }
-    }
+    for (WorkTask& t : list) advance(w, t);
   if (!w.in_flight && (now_ >= w.next_report || (w.changed && now_ - w.last_report >= 500)))
     send_report(w);
   at(now_ + kWorkerTick, [this, name] { worker_tick(name); });
 }
 
+void World::advance(Worker& w, WorkTask& t) {
+  ReportedTask& r = t.report;
+  if (r.state == RunState::Fetching && now_ >= t.image_at) begin_task(w, t);
+  const bool fails = mistaken_.contains(r.key.job) || faulty_.contains(w.machine.name);
+  if (r.state == RunState::Running && now_ >= t.image_at + 300 && fails) {
+    end_task(w, t, ExitCause::Error);
+  } else if (r.state == RunState::Running && t.done_at > 0 && now_ >= t.done_at) {
+    w.done.insert(task_name(r.key));
+    end_task(w, t, ExitCause::Done);
+    completed(r.key);
+    if (on_completed) on_completed(r.key, w.machine.name);
+  }
+  if (r.state == RunState::Saving && now_ >= t.exits_at) {
+    r.saved = true;
+    end_task(w, t, ExitCause::Stopped);
+  }
+}
+
+void World::begin_task(Worker& w, WorkTask& t) {
+  ReportedTask& r = t.report;
+  r.state = RunState::Running;
+  t.on = true;
+  w.changed = true;
+  checker_.started(r.key, {w.machine.name, w.machine.type, w.machine.zone, w.machine.spot}, now_);
+  const User* u = user_of(r.key.job);
+  if (u == nullptr) return;
+  w.images.insert(u->spec.image);
+  if (u->spec.kind == JobKind::Array)
+    t.done_at = w.done.contains(task_name(r.key))
+                    ? now_
+                    : now_ + static_cast<Time>(u->spec.estimate_s * (500 + random_(1000)));
+  if (t.done_at > 0 && strikes(cancel_at_end_))
+    at(t.done_at - 50 + random_(200), [this, id = u->spec.id] { call_off(by_job_.at(id)); });
+}
+
+void World::end_task(Worker& w, WorkTask& t, ExitCause cause) {
+  if (t.on) ended(t.report.key, w.machine.name, cause == ExitCause::Done);
+  t.on = false;
+  t.report.state = RunState::Exited;
+  t.report.cause = cause;
+  w.changed = true;
+}
+
 void World::send_report(Worker& w) {
   const std::string name = w.machine.name;
   const Report report = make_report(w);
@@ -367,14 +372,12 @@
 // limit.
 void World::watch_waiting() {
   if (!checker_.is_calm()) return;
-  struct Room {
-    const Worker* worker;
-    Resources free;
-  };
-  std::vector<Room> rooms;
-  std::map<std::string, std::map<std::string, std::size_t>> zones;  // of a job's tasks
-  std::map<std::string, std::size_t> there;
-  std::map<std::string, Resources> used;
+  const Occupancy now = occupancy();
+  for (const auto& u : users_) checker_.waiting(u->spec.id, could_start(*u, now), now_);
+}
+
+World::Occupancy World::occupancy() const {
+  Occupancy out;
   for (const auto& [name, w] : workers_) {
     if (!w.alive || !cloud_.machines.contains(name)) continue;
     Room room{&w, cloud_.types.front().size};
@@ -383,35 +386,45 @@
         const User* u = user_of(key.first);
         if (u == nullptr || t.report.state == RunState::Exited) continue;
         room.free -= u->spec.need;
-        used[u->spec.team] += u->spec.need;
-        ++zones[key.first][w.machine.zone];
-        ++there[key.first];
+        out.used[u->spec.team] += u->spec.need;
+        ++out.zones[key.first][w.machine.zone];
+        ++out.tasks[key.first];
       }
     if (now_ >= std::max({w.hang_until, w.deaf_until, w.mute_until}) && w.notice_at == 0)
-      rooms.push_back(room);
-  }
-  for (const auto& u : users_) {
-    const JobSpec& s = u->spec;
-    const bool wants = u->accepted && !u->over && !u->cancelling &&
-                       (u->cancel_at == 0 || now_ < u->cancel_at) &&
-                       there[s.id] + u->completed.size() < s.tasks;
-    bool possible = false;
-    for (const Team& t : settings_[0].teams)
-      if (wants && t.name == s.team)
-        possible = (t.gpus_max <= 0 || used[s.team].gpus + s.need.gpus <= t.gpus_max) &&
-                   (t.cpus_max <= 0 || used[s.team].cpus + s.need.cpus <= t.cpus_max);
-    const auto& mine = zones[s.id];
-    possible = possible && std::any_of(rooms.begin(), rooms.end(), [&](const Room& r) {
-                 const std::string& zone = r.worker->machine.zone;
-                 const auto in = mine.find(zone);
-                 if (r.worker->machine.spot && !s.spot) return false;
-                 if (!s.zone.empty() && s.zone != zone) return false;
-                 if (s.one_zone && !mine.empty() && in == mine.end()) return false;
-                 if (s.spread && in != mine.end() && in->second >= (s.tasks + 1) / 2) return false;
-                 return s.need.fits_in(r.free);
-               });
-    checker_.waiting(s.id, possible, now_);
+      out.rooms.push_back(room);
   }
+  return out;
+}
+
+bool World::could_start(const User& u, const Occupancy& now) const {
+  const JobSpec& s = u.spec;
+  const auto tasks = now.tasks.find(s.id);
+  const std::size_t there = tasks == now.tasks.end() ? 0 : tasks->second;
+  const bool wants = u.accepted && !u.over && !u.cancelling &&
+                     (u.cancel_at == 0 || now_ < u.cancel_at) &&
+                     there + u.completed.size() < s.tasks;
+  if (!wants || !team_allows(s, now)) return false;
+  const auto found = now.zones.find(s.id);
+  static const std::map<std::string, std::size_t> kNowhere;
+  const auto& zones = found == now.zones.end() ? kNowhere : found->second;
+  return std::any_of(now.rooms.begin(), now.rooms.end(), [&](const Room& room) {
+    const std::string& zone = room.worker->machine.zone;
+    const auto in = zones.find(zone);
+    if (room.worker->machine.spot && !s.spot) return false;
+    if (!s.zone.empty() && s.zone != zone) return false;
+    if (s.one_zone && !zones.empty() && in == zones.end()) return false;
+    if (s.spread && in != zones.end() && in->second >= (s.tasks + 1) / 2) return false;
+    return s.need.fits_in(room.free);
+  });
+}
+
+bool World::team_allows(const JobSpec& s, const Occupancy& now) const {
+  const auto it = now.used.find(s.team);
+  const Resources used = it == now.used.end() ? Resources{} : it->second;
+  return std::any_of(settings_[0].teams.begin(), settings_[0].teams.end(), [&](const Team& t) {
+    return t.name == s.team && (t.gpus_max <= 0 || used.gpus + s.need.gpus <= t.gpus_max) &&
+           (t.cpus_max <= 0 || used.cpus + s.need.cpus <= t.cpus_max);
+  });
 }
 
 }  // namespace sailreel::sim
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -217,90 +217,111 @@
   return static_cast<Time>(static_cast<double>(now_) * nodes_[node].drift) + 1'000'000;
 }
 
-void World::act(std::size_t i, Action& action) {
-  Node& n = nodes_[i];
-  const std::uint64_t incarnation = n.incarnation;
-  const auto alive = [this, i, incarnation] {
+void World::act(std::size_t i, const Action& action) {
+  std::visit([this, i](const auto& a) { perform(i, a); }, action);
+}
+
+std::function<bool()> World::still_alive(std::size_t i) const {
+  return [this, i, incarnation = nodes_[i].incarnation] {
     return nodes_[i].core && nodes_[i].incarnation == incarnation;
   };
-  if (auto* line = std::get_if<Log>(&action)) {
-    // For finding out what happened on a day that fails.
-    static const bool wanted = std::getenv("SIM_LOG") != nullptr;
-    if (wanted)
-      std::fprintf(stderr, "%8.3f %s %s\n", now_ / 1000.0, n.name.c_str(), line->text.c_str());
-  } else if (auto* arm = std::get_if<ArmTimer>(&action)) {
-    at(now_ + arm->in_ms, [this, i, alive] {
-      if (alive()) feed(i, Tick{});
-    });
-  } else if (auto* answer = std::get_if<Answer>(&action)) {
-    node_answer(i, *answer);
-  } else if (auto* call = std::get_if<CallState>(&action)) {
-    const auto done = std::make_shared<bool>(false);
-    const auto finish = [this, i, alive, done, id = call->call](const StateReply& r) {
-      if (*done || !alive()) return;
-      *done = true;
-      feed(i, StateAnswer{id, r});
-    };
-    const bool is_write = call->request.kind == StateCall::Kind::Txn;
-    if (is_write && strikes(late_writes_)) {
-      at(now_ + 2'000 + random_(10'000), [this, request = call->request] {
-        state_.handle(request, false, now_, [](const StateReply&) {});
-      });
-    } else {
-      const bool lost = is_write && strikes(lost_answers_);
-      carry(n.name, "state", [this, i, lost, request = call->request, finish] {
-        const bool refused = now_ < nodes_[i].refused_until;
-        state_.handle(request, refused, now_, [this, i, lost, finish](StateReply r) {
-          if (!lost) carry("state", node_name(i), [finish, r] { finish(r); });
-        });
-      });
-    }
-    at(now_ + call->timeout_ms, [finish] { finish(StateReply{}); });
-  } else if (auto* cloud = std::get_if<CallCloud>(&action)) {
-    const auto done = std::make_shared<bool>(false);
-    const auto finish = [this, i, alive, done, id = cloud->call](const CloudReply& r) {
-      if (*done || !alive()) return;
-      *done = true;
-      feed(i, CloudAnswer{id, r});
-    };
-    carry(n.name, "cloud", [this, i, request = cloud->request, finish] {
-      const CloudReply r = cloud_.handle(request, now_);
-      carry("cloud", node_name(i), [finish, r] { finish(r); });
+}
+
+// For finding out what happened on a day that fails.
+void World::perform(std::size_t i, const Log& line) {
+  static const bool kWanted = std::getenv("SIM_LOG") != nullptr;
+  if (kWanted)
+    std::fprintf(stderr, "%8.3f %s %s\n", static_cast<double>(now_) / 1000.0,
+                 nodes_[i].name.c_str(), line.text.c_str());
+}
+
+void World::perform(std::size_t i, const ArmTimer& timer) {
+  at(now_ + timer.in_ms, [this, i, alive = still_alive(i)] {
+    if (alive()) feed(i, Tick{});
+  });
+}
+
+void World::perform(std::size_t i, const Answer& answer) { node_answer(i, answer); }
+
+void World::perform(std::size_t i, const CallState& call) {
+  const auto done = std::make_shared<bool>(false);
+  const auto finish = [this, i, alive = still_alive(i), done,
+                       id = call.call](const StateReply& reply) {
+    if (*done || !alive()) return;
+    *done = true;
+    feed(i, StateAnswer{id, reply});
+  };
+  at(now_ + call.timeout_ms, [finish] { finish(StateReply{}); });
+  const bool is_write = call.request.kind == StateCall::Kind::Txn;
+  if (is_write && strikes(late_writes_)) {
+    at(now_ + 2'000 + random_(10'000), [this, request = call.request] {
+      state_.handle(request, false, now_, [](const StateReply&) {});
     });
-    at(now_ + cloud->timeout_ms, [finish] { finish(CloudReply{}); });
-  } else if (auto* worker = std::get_if<CallWorker>(&action)) {
-    const auto fail = [this, i, alive, id = worker->call] {
-      if (!alive()) return;
-      nodes_[i].direct_calls.erase(id);
-      feed(i, WorkerAnswer{id, 0, {}});
-    };
-    if (n.direct_calls.size() >= settings_[i].limits.sockets / 4) return at(now_, fail);
-    n.direct_calls.insert(worker->call);
-    direct(i, worker->call, worker->address, worker->body);
-    at(now_ + worker->timeout_ms, fail);
-  } else if (auto* peer = std::get_if<SendPeer>(&action)) {
-    const std::string to = settings_[i].siblings[peer->sibling].name;
-    const std::size_t j = static_cast<std::size_t>(to.back() - '0');
-    // Over the real frames, so that these are in the test too.
-    carry(n.name, to, [this, i, j, incarnation, bytes = encode_peer(peer->message)] {
-      PeerReader reader;
-      reader.feed(bytes);
-      auto m = reader.next();
-      if (!m) return;
-      if (m->kind == PeerMessage::Kind::Request) {
-        // The link ends with the process: its number stands for both.
-        const Origin origin{Origin::Kind::Peer, incarnation * nodes_.size() + i, m->request.call};
-        if (m->request.op != UserOp::Report)
-          return feed(j, UserRequest{origin, m->request.op, m->request.id, m->request.body});
-        if (auto report = decode_report(m->request.body))
-          feed(j, WorkerReport{origin, *report, m->request.body});
-        return;
-      }
-      const auto& siblings = settings_[j].siblings;
-      for (std::size_t k = 0; k < siblings.size(); ++k)
-        if (siblings[k].name == node_name(i)) feed(j, PeerInput{k, *m});
+    return;
+  }
+  const bool lost = is_write && strikes(lost_answers_);
+  carry(nodes_[i].name, "state", [this, i, lost, request = call.request, finish] {
+    const bool refused = now_ < nodes_[i].refused_until;
+    state_.handle(request, refused, now_, [this, i, lost, finish](const StateReply& reply) {
+      if (!lost) carry("state", node_name(i), [finish, reply] { finish(reply); });
     });
+  });
+}
+
+void World::perform(std::size_t i, const CallCloud& call) {
+  const auto done = std::make_shared<bool>(false);
+  const auto finish = [this, i, alive = still_alive(i), done,
+                       id = call.call](const CloudReply& reply) {
+    if (*done || !alive()) return;
+    *done = true;
+    feed(i, CloudAnswer{id, reply});
+  };
+  carry(nodes_[i].name, "cloud", [this, i, request = call.request, finish] {
+    const CloudReply reply = cloud_.handle(request, now_);
+    carry("cloud", node_name(i), [finish, reply] { finish(reply); });
+  });
+  at(now_ + call.timeout_ms, [finish] { finish(CloudReply{}); });
+}
+
+void World::perform(std::size_t i, const CallWorker& call) {
+  const auto fail = [this, i, alive = still_alive(i), id = call.call] {
+    if (!alive()) return;
+    nodes_[i].direct_calls.erase(id);
+    feed(i, WorkerAnswer{id, 0, {}});
+  };
+  if (nodes_[i].direct_calls.size() >= settings_[i].limits.sockets / 4) return at(now_, fail);
+  nodes_[i].direct_calls.insert(call.call);
+  direct(i, call.call, call.address, call.body);
+  at(now_ + call.timeout_ms, fail);
+}
+
+// Over the real frames, so that these are in the test too.
+void World::perform(std::size_t i, const SendPeer& peer) {
+  const std::string to = settings_[i].siblings[peer.sibling].name;
+  const std::size_t j = static_cast<std::size_t>(to.back() - '0');
+  // The link ends with the process: its number stands for both.
+  const std::uint64_t link = nodes_[i].incarnation * nodes_.size() + i;
+  carry(nodes_[i].name, to, [this, i, j, link, bytes = encode_peer(peer.message)] {
+    PeerReader reader;
+    reader.feed(bytes);
+    if (const auto message = reader.next()) receive(i, j, link, *message);
+  });
+}
+
+void World::receive(std::size_t from, std::size_t to, std::uint64_t link,
+                    const PeerMessage& message) {
+  if (message.kind == PeerMessage::Kind::Request) {
+    const PeerRequest& request = message.request;
+    const Origin origin{Origin::Kind::Peer, link, request.call};
+    if (request.op != UserOp::Report)
+      return feed(to, UserRequest{origin, request.op, request.id, request.body});
+    if (auto report = decode_report(request.body))
+      feed(to, WorkerReport{origin, *report, request.body});
+    return;
   }
+  const auto& siblings = settings_[to].siblings;
+  for (std::size_t k = 0; k < siblings.size(); ++k)
+    if (siblings[k].name == node_name(from)) feed(to, PeerInput{k, message});
 }
 
 void World::node_answer(std::size_t i, const Answer& a) {
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -104,7 +104,8 @@
   void cancel(const std::string& id);
   /// One question more, beside what the job's user does by itself.
   void ask(const std::string& id, std::size_t node, UserOp op) { ask_for(id, node, op, {}); }
-  void ask_for(const std::string& id, std::size_t node, UserOp op, std::function<void(int)> then);
+  void ask_for(const std::string& id, std::size_t node, UserOp op,
+               const std::function<void(int)>& then);
   /// The node that leads under the highest epoch; -1: none does.
   [[nodiscard]] int leader() const;
   [[nodiscard]] const Core* core(std::size_t node) const { return nodes_[node].core.get(); }
@@ -176,10 +177,23 @@
   void start_node(std::size_t i);
   [[nodiscard]] Time steady_clock(std::size_t node) const;
   void feed(std::size_t i, Input input);
-  void act(std::size_t i, Action& action);
+  void act(std::size_t i, const Action& action);
+  void perform(std::size_t i, const Log& line);
+  void perform(std::size_t i, const ArmTimer& timer);
+  void perform(std::size_t i, const Answer& answer);
+  void perform(std::size_t i, const CallState& call);
+  void perform(std::size_t i, const CallCloud& call);
+  void perform(std::size_t i, const CallWorker& call);
+  void perform(std::size_t i, const SendPeer& peer);
+  void receive(std::size_t from, std::size_t to, std::uint64_t link, const PeerMessage& message);
+  /// Whether the process that runs on the node now is still the one that does.
+  [[nodiscard]] std::function<bool()> still_alive(std::size_t i) const;
   void node_answer(std::size_t i, const Answer& a);
 
   void worker_tick(const std::string& name);
+  void advance(Worker& w, WorkTask& t);
+  void begin_task(Worker& w, WorkTask& t);
+  void end_task(Worker& w, WorkTask& t, ExitCause cause);
   void send_report(Worker& w);
   Report make_report(Worker& w);
   void obey(Worker& w, const Command& c);
@@ -203,11 +217,29 @@
   void call_off(std::size_t u);
   void completed(const TaskKey& key);
   void watch_waiting();
+  struct Room {
+    const Worker* worker = nullptr;
+    Resources free;
+  };
+  /// What is on the machines, and the room of those that can take tasks.
+  struct Occupancy {
+    std::vector<Room> rooms;
+    std::map<std::string, std::map<std::string, std::size_t>> zones;  // of a job's tasks
+    std::map<std::string, std::size_t> tasks;                         // of a job
+    std::map<std::string, Resources> used;                            // by a team
+  };
+  [[nodiscard]] Occupancy occupancy() const;
+  [[nodiscard]] bool could_start(const User& u, const Occupancy& now) const;
+  [[nodiscard]] bool team_allows(const JobSpec& s, const Occupancy& now) const;
   void deliver_copies();
   void deliver_everywhere(const std::string& raw);
   void user_answer(std::size_t u, UserOp op, int status, const std::string& body);
   [[nodiscard]] const User* user_of(const std::string& job) const;
   void plan_troubles();
+  void trouble(std::uint32_t kind);
+  void controller_trouble(std::uint32_t kind, std::size_t target, Time span_ms, bool hold);
+  void machine_trouble(std::uint32_t kind, const std::string& machine, Time span_ms, bool hold);
+  void take_back(const std::string& machine);
   void plan_meetings();
   void meet(std::uint32_t kind);
   void plan_jobs();
