--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -67,7 +67,7 @@
   [[nodiscard]] Time report_interval() const { return ms(settings_.workers.report_s); }
   [[nodiscard]] Time worker_lease() const { return ms(settings_.workers.lease_s); }
   /// A span on a worker's clock, as long as it may last on ours, and a little more.
-  [[nodiscard]] static Time surely(Time span) { return span + span / 500 + 50; }
+  [[nodiscard]] static Time with_drift(Time span) { return span + span / 500 + 50; }
 
   // election.cpp
   void election_tick();
@@ -143,11 +143,11 @@
 
   // rebuild.cpp
   void begin_rebuild();
-  void note_unreadable(const Image& image);
-  void load_shards(const Image& image);
-  void load_jobs(Image& image);
+  void note_unreadable(const Snapshot& image);
+  void load_shards(const Snapshot& image);
+  void load_jobs(Snapshot& image);
   void load_job(JobRecord record);
-  void load_machines(const Image& image);
+  void load_machines(const Snapshot& image);
   void rebuild_tick();
   void inquire(Machine& m);
   void inquire_if_due(Machine& m);
@@ -160,7 +160,7 @@
   void first_report(Machine& m, const Report& r);
   void next_session(Machine& m);
   void note_address(Machine& m, const std::string& address);
-  void note_heard(Machine& m, const Report& r);
+  void note_report(Machine& m, const Report& r);
   void task_not_reported(Machine& m, std::size_t index, std::uint64_t report_seq, bool direct);
   void take_notice(Machine& m, double notice_s);
   void drop(Machine& m, std::size_t index);
@@ -174,13 +174,13 @@
   void note_image(Machine& m, const JobSpec& spec);
   void task_exited(Machine& m, Placement& p);
   void task_failed(Job& job, Machine& m);
-  void judge(Machine& m);
+  void check_for_fault(Machine& m);
   std::vector<Command> commands_for(Machine& m, std::uint64_t report_seq);
   void machine_tick();
   [[nodiscard]] Time silent_after() const;
   [[nodiscard]] static bool few_silent(std::size_t silent, std::size_t of);
-  void look_for_dead();
-  [[nodiscard]] bool zone_away(const std::string& zone) const;
+  void detect_dead_machines();
+  [[nodiscard]] bool zone_unreachable(const std::string& zone) const;
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
   void note_fetch_begun(Machine& m, const JobSpec& spec);
@@ -189,53 +189,55 @@
 
   // keepalive.cpp
   struct SiblingView {
-    Time heard = -kNever;
+    Time last_heartbeat = -kNever;
     bool leading = false, hears_leader = false, holding = false, hears_workers = false;
     std::uint64_t epoch = 0;
     std::uint64_t incarnation = 0;  // 0: never heard
     Time clock = 0;                 // its own, at its latest heartbeat
     Time echo_at = -kNever;         // when the latest of our heartbeats left that it had by then
-    Time alone_at = -kNever;        // when it last kept tasks alive by itself, at the latest
+    Time kept_alive_at = -kNever;   // when it last kept tasks alive by itself, at the latest
     Time tried_at = -kNever;        // when a worker was last sent there although it hears none
   };
-  [[nodiscard]] Time keep_span() const;
+  [[nodiscard]] Time keep_alive_span() const;
   [[nodiscard]] Time contact_span() const;
   [[nodiscard]] bool in_contact(const SiblingView& v) const;
   [[nodiscard]] bool reaches_leader(const SiblingView& v) const;
-  void may_keep(std::uint64_t epoch, Time until);
+  void allow_keep_alive(std::uint64_t epoch, Time until);
   [[nodiscard]] Time siblings_answered() const;
   [[nodiscard]] Time expiry(const Machine& m) const;
   void forward_report(const WorkerReport& in);
-  bool steer(const WorkerReport& in);
+  bool redirect_to_own_zone(const WorkerReport& in);
   [[nodiscard]] std::optional<std::size_t> sibling_for_zone(const std::string& zone);
-  [[nodiscard]] bool was_sent_away(const std::string& machine, Time within) const;
-  void send_away(const Origin& origin, const std::string& machine, std::size_t sibling);
+  [[nodiscard]] bool was_redirected(const std::string& machine, Time within) const;
+  void redirect_worker(const Origin& origin, const std::string& machine, std::size_t sibling);
   void keep_alive(const Origin& origin, const std::string& machine, std::uint64_t token,
-                  bool may_send_away);
+                  bool may_redirect);
   [[nodiscard]] std::size_t node_before() const;
 
   // placement.cpp
   /// What a machine must be to take a task, whatever runs elsewhere.
-  struct Want {
+  struct Requirement {
     Resources each;
     bool spot = false;
     std::string zone;
     bool any_type = true;
     std::vector<std::string> types;
     /// Where the other finds no room, this finds none either.
-    [[nodiscard]] bool as_much_as(const Want& o) const;
-    bool operator==(const Want&) const = default;
+    [[nodiscard]] bool as_much_as(const Requirement& o) const;
+    bool operator==(const Requirement&) const = default;
   };
-  static Want want_of(const JobSpec& s) { return {s.need, s.spot, s.zone, s.any_type, s.types}; }
+  static Requirement requirement_of(const JobSpec& s) {
+    return {s.need, s.spot, s.zone, s.any_type, s.types};
+  }
   struct Unmet {
-    Want want;
+    Requirement want;
     Resources total;
     std::uint32_t tasks = 0;
     bool guaranteed = false;
   };
   /// Work that the present pass has found nothing to stop for.
-  struct Immovable {
-    Want want;
+  struct FailedEviction {
+    Requirement want;
     Priority priority = Priority::Low;
     const TeamBook* team = nullptr;
     bool guaranteed = false;
@@ -257,9 +259,9 @@
   [[nodiscard]] std::optional<Fit> fit(const Job& job, const Machine& m, bool may_queue_fetch,
                                        bool& has_room) const;
   /// The machines that one job's tasks may go to within a pass, best first.
-  class Choice {
+  class MachineRanking {
    public:
-    Choice(Core& core, const Job& job, bool may_queue_fetch)
+    MachineRanking(Core& core, const Job& job, bool may_queue_fetch)
         : core_(core), job_(job), may_queue_fetch_(may_queue_fetch) {}
     /// The best for one more task, as things stand; null if there is none.
     Machine* best();
@@ -283,13 +285,13 @@
   [[nodiscard]] bool usable(const Machine& m) const;
   /// Usable, and not being emptied.
   [[nodiscard]] bool open(const Machine& m) const { return usable(m) && !m.retiring; }
-  using Promises = std::unordered_map<const Machine*, Resources>;
+  using Reservations = std::unordered_map<const Machine*, Resources>;
   /// What a machine has free beside what is promised there.
-  [[nodiscard]] static Resources room_beside(const Promises& promised, const Machine& m);
+  [[nodiscard]] static Resources room_beside(const Reservations& promised, const Machine& m);
   /// The same of this pass's claims, once what is to be stopped there has gone.
   [[nodiscard]] Resources room_to_come(const Machine& m) const;
   /// Room has grown: what the present pass found to be in vain may not be so any more.
-  void forget_in_vain();
+  void forget_failures();
   using Queues = std::array<std::vector<Job*>, kPriorities>;
   [[nodiscard]] Queues note_guarantees();
   void queue_order(std::vector<Job*>& jobs) const;
@@ -351,7 +353,7 @@
   };
   [[nodiscard]] FleetSupply count_supply() const;
   [[nodiscard]] bool may_rent(const MachineKind& kind, const std::string& zone) const;
-  [[nodiscard]] const MachineType* cheapest_type(const Want& want, bool spot) const;
+  [[nodiscard]] const MachineType* cheapest_type(const Requirement& want, bool spot) const;
   [[nodiscard]] Resources room_freed_by_arrays() const;
   [[nodiscard]] Resources ordinary_allowance(const OrdinaryRoom& ordinary,
                                              const FleetSupply& supply) const;
@@ -368,10 +370,10 @@
   [[nodiscard]] OrdinaryRoom ordinary_room() const;
   void retire(OrdinaryRoom ordinary);
   [[nodiscard]] std::vector<Machine*> machines_to_retire() const;
-  bool empty_machine(Machine& m, Promises& under_way);
+  bool empty_machine(Machine& m, Reservations& under_way);
   [[nodiscard]] bool spare(const OrdinaryRoom& ordinary, const Machine& m) const;
   [[nodiscard]] const Machine* warm_room(const Placement& p, const Machine& from,
-                                         const Promises& promised) const;
+                                         const Reservations& promised) const;
   void send_releases();
   void release(Machine& m, const char* why);
   void drain(Machine& m, const char* why);
@@ -410,10 +412,10 @@
   const std::uint64_t incarnation_;  // of this process
 
   // keeping workers' tasks alive by ourselves: under which token, until when, and when we last did
-  std::uint64_t keep_epoch_ = 0;
-  Time keep_until_ = 0, alone_at_ = -kNever;
-  Time worker_heard_ = -kNever;  // by ourselves
-  std::unordered_map<std::string, Time> sent_away_;
+  std::uint64_t keep_alive_epoch_ = 0;
+  Time keep_alive_until_ = 0, kept_alive_at_ = -kNever;
+  Time last_worker_report_ = -kNever;  // by ourselves
+  std::unordered_map<std::string, Time> redirected_at_;
 
   // followers' part in intake
   struct Forwarded {
@@ -428,10 +430,10 @@
   void give_up(const Forwarded& f);
   std::map<std::uint64_t, Forwarded> forwarded_;
   std::uint64_t next_forward_ = 1;
-  Image image_, loading_;
-  bool image_loaded_ = false;
-  std::uint64_t image_revision_ = 0;
-  Time image_read_at_ = 0;
+  Snapshot snapshot_, loading_;
+  bool snapshot_loaded_ = false;
+  std::uint64_t snapshot_revision_ = 0;
+  Time snapshot_read_at_ = 0;
   struct Lookup {
     Origin origin;
     std::string id;
@@ -510,7 +512,7 @@
   /// When a machine of the zone last answered a direct command.
   std::unordered_map<std::string, Time> zone_reached_;
   /// When all machines of a zone were last found silent.
-  std::unordered_map<std::string, Time> zone_away_;
+  std::unordered_map<std::string, Time> zone_unreachable_at_;
 
   // placement
   bool placement_dirty_ = false;
@@ -533,14 +535,14 @@
   std::unordered_map<std::string, Move> moves_;
   std::set<std::string> stops_due_;  // machines with stops that haven't left yet
   /// Room on machines that the present pass has promised to tasks of higher priority.
-  Promises claims_;
+  Reservations reservations_;
   /// What the present pass has found no room for, and nothing to stop for. Room only shrinks within
   /// a pass; where it grows, these are forgotten.
-  std::vector<Want> full_;
+  std::vector<Requirement> no_room_for_;
   /// Machines with room for the least that waits, when the pass began.
-  std::vector<Machine*> roomy_;
+  std::vector<Machine*> machines_with_room_;
   std::uint64_t examined_ = 0;
-  std::vector<Immovable> immovable_;
+  std::vector<FailedEviction> no_eviction_for_;
 };
 
 template <typename... Parts>
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -115,7 +115,7 @@
             [this, term, lease, granted](const StateReply& e) {
               if (term != term_) return;
               if (e.status != 200) return step_down("epoch not readable");
-              Image image;
+              Snapshot image;
               for (const StateItem& item : e.items) image.apply(item);
               epoch_ = std::max(epoch_, image.epoch);
               epoch_version_ = image.epoch_version;
@@ -158,9 +158,9 @@
         led_since_ = clock_.now;
         leader_name_ = settings_.name;
         log(Log::Level::Info, "event=elected");
-        image_ = Image{};
-        image_loaded_ = false;
-        loading_ = Image{};
+        snapshot_ = Snapshot{};
+        snapshot_loaded_ = false;
+        loading_ = Snapshot{};
         load("", 0);
       },
       true);
@@ -229,13 +229,13 @@
   campaign_at_ = kNever;
   watch_retry_ = clock_.now + 20 + static_cast<Time>(random_(60));
   leader_name_.clear();
-  image_ = Image{};
-  image_loaded_ = refreshing_ = false;
+  snapshot_ = Snapshot{};
+  snapshot_loaded_ = refreshing_ = false;
   lookups_.insert(lookups_.end(), lookups_served_.begin(), lookups_served_.end());
   lookups_served_.clear();
   if (!led) return;
   // Workers that know of no other leader are kept alive for as long as if we still led.
-  may_keep(epoch_, lease_deadline_ + keep_span());
+  allow_keep_alive(epoch_, lease_deadline_ + keep_alive_span());
   for (const Waiter& w : round_.waiters) refuse(w.origin, "leadership lost");
   for (const Waiter& w : waiting_next_) refuse(w.origin, "leadership lost");
   for (const auto& [id, waits] : cancel_waits_)
@@ -256,12 +256,12 @@
   release_queue_.clear();
   no_capacity_until_.clear();
   unmet_.clear();
-  claims_.clear();
-  roomy_.clear();
+  reservations_.clear();
+  machines_with_room_.clear();
   moves_.clear();
   stops_due_.clear();
   zone_reached_.clear();
-  zone_away_.clear();
+  zone_unreachable_at_.clear();
   worker_calls_.clear();
   cloud_calls_.clear();
   releasing_ = listing_ = false;
@@ -294,23 +294,26 @@
   if (heartbeat.incarnation != v.incarnation) {
     // What its former incarnation may have kept alive until it ended isn't in the new one's
     // heartbeats.
-    if (v.incarnation != 0) v.alone_at = std::max(v.alone_at, std::min(now, v.heard + keep_span()));
+    if (v.incarnation != 0)
+      v.kept_alive_at =
+          std::max(v.kept_alive_at, std::min(now, v.last_heartbeat + keep_alive_span()));
     v.incarnation = heartbeat.incarnation;
   } else if (heartbeat.clock < v.clock) {
     return;  // an older one, over another connection
   }
   v.clock = heartbeat.clock;
-  v.heard = now;
+  v.last_heartbeat = now;
   v.leading = heartbeat.leading;
   v.epoch = heartbeat.epoch;
   v.hears_leader = heartbeat.hears_leader;
   v.holding = heartbeat.holding;
   v.hears_workers = heartbeat.hears_workers;
-  if (heartbeat.alone_ms) v.alone_at = std::max(v.alone_at, now - Time{*heartbeat.alone_ms});
-  if (heartbeat.heard_incarnation == incarnation_) {
-    v.echo_at = std::max(v.echo_at, Time{heartbeat.heard_clock});
+  if (heartbeat.kept_alive_ms)
+    v.kept_alive_at = std::max(v.kept_alive_at, now - Time{*heartbeat.kept_alive_ms});
+  if (heartbeat.acknowledged_incarnation == incarnation_) {
+    v.echo_at = std::max(v.echo_at, Time{heartbeat.acknowledged_clock});
     if (heartbeat.leading)
-      may_keep(heartbeat.epoch, heartbeat.heard_clock + Time{heartbeat.keep_ms});
+      allow_keep_alive(heartbeat.epoch, heartbeat.acknowledged_clock + Time{heartbeat.keep_ms});
   }
   if (role_ == Role::Leader && heartbeat.leading && heartbeat.epoch > epoch_)
     step_down("a sibling leads under a higher epoch");
@@ -328,17 +331,17 @@
   b.epoch = epoch_;
   b.leading = in_command(now);
   b.hears_leader = leader_sibling() >= 0;
-  b.holding = role_ == Role::Leader && now < lease_deadline_ + keep_span();
-  b.hears_workers = now - worker_heard_ < silent_after();
+  b.holding = role_ == Role::Leader && now < lease_deadline_ + keep_alive_span();
+  b.hears_workers = now - last_worker_report_ < silent_after();
   b.incarnation = incarnation_;
   b.clock = now;
-  if (alone_at_ >= 0)
-    b.alone_ms = static_cast<std::uint32_t>(std::min<Time>(now - alone_at_, UINT32_MAX));
+  if (kept_alive_at_ >= 0)
+    b.kept_alive_ms = static_cast<std::uint32_t>(std::min<Time>(now - kept_alive_at_, UINT32_MAX));
   for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
     const SiblingView& v = sibling_views_[i];
-    b.heard_incarnation = v.incarnation;
-    b.heard_clock = v.clock;
-    b.keep_ms = b.leading && v.incarnation != 0 ? static_cast<std::uint32_t>(keep_span()) : 0;
+    b.acknowledged_incarnation = v.incarnation;
+    b.acknowledged_clock = v.clock;
+    b.keep_ms = b.leading && v.incarnation != 0 ? static_cast<std::uint32_t>(keep_alive_span()) : 0;
     out_.push_back(SendPeer{i, m});
   }
 }
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -157,14 +157,14 @@
     if (type == nullptr) continue;
     const MachineKind kind{m->type, m->spot};
     ++supply.by_zone[kind][m->zone];
-    if (!m->reported && !zone_away(m->zone) &&
+    if (!m->reported && !zone_unreachable(m->zone) &&
         clock_.now - m->rented < ms(type->boot_s * kLateBoot))
       supply.coming[kind] += 1;
   }
   for (const auto& [name, rental] : rentals_) {
     const RentalRequest& request = rental.request;
     const MachineKind kind{request.type, request.spot};
-    if (!zone_away(request.zone)) supply.coming[kind] += request.count;
+    if (!zone_unreachable(request.zone)) supply.coming[kind] += request.count;
     supply.by_zone[kind][request.zone] += static_cast<int>(request.count);
   }
   return supply;
@@ -176,7 +176,7 @@
 }
 
 // The type that takes such work for the least money, among those that may be rented now.
-const MachineType* Core::cheapest_type(const Want& want, bool spot) const {
+const MachineType* Core::cheapest_type(const Requirement& want, bool spot) const {
   const MachineType* best = nullptr;
   double best_price = 0;
   for (const MachineType& type : tables_.types) {
@@ -282,7 +282,7 @@
   for (const Unmet& unmet : unmet_)
     if (!unmet.want.spot) used += unmet.total;
   if (used.gpus <= 0 && used.cpus <= 0) return;
-  const MachineType* type = cheapest_type(Want{}, false);
+  const MachineType* type = cheapest_type(Requirement{}, false);
   if (type == nullptr) return;
   // What waits has no room: beside it, all of the headroom is to be added.
   Resources& wanted = demand[{type->name, false}];
@@ -306,8 +306,8 @@
     const std::string* zone = nullptr;
     for (const std::string& other : type->zones)
       if (may_rent(kind, other) &&
-          (zone == nullptr ||
-           std::pair(zone_away(other), have[other]) < std::pair(zone_away(*zone), have[*zone])))
+          (zone == nullptr || std::pair(zone_unreachable(other), have[other]) <
+                                  std::pair(zone_unreachable(*zone), have[*zone])))
         zone = &other;
     if (zone == nullptr) break;
     ++have[*zone];
@@ -473,7 +473,7 @@
     ++up;
     retiring += m->retiring ? 1 : 0;
   }
-  Promises under_way;
+  Reservations under_way;
   for (const auto& [task, move] : moves_)
     if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
   // As many at a time as the fleet's size allows: one for each look at the fleet was too slow for
@@ -519,7 +519,7 @@
 
 // Marks a machine to be emptied if each of its replicas can move to where its image lies. What is
 // promised there meanwhile is added to `under_way`.
-bool Core::empty_machine(Machine& m, Promises& under_way) {
+bool Core::empty_machine(Machine& m, Reservations& under_way) {
   auto promised = under_way;
   std::vector<PlannedMove> plan;
   for (Placement& p : m.placements) {
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -221,24 +221,24 @@
   // more than a page of changes at the full rate of writing, the keys are read anew. A node that
   // had not looked for minutes once held 19 MB for it.
   const double kb_per_s = settings_.store.write_rps * settings_.store.value_kb;
-  if (static_cast<double>(clock_.now - image_read_at_) / 1000.0 * kb_per_s > kPageKb)
-    image_loaded_ = false;
-  if (!image_loaded_) {
-    image_ = Image{};
+  if (static_cast<double>(clock_.now - snapshot_read_at_) / 1000.0 * kb_per_s > kPageKb)
+    snapshot_loaded_ = false;
+  if (!snapshot_loaded_) {
+    snapshot_ = Snapshot{};
     return refresh_list("", 0);
   }
   const std::uint64_t term = term_;
   StateCall watch;
   watch.kind = StateCall::Kind::Watch;
   watch.key = kPrefix;
-  watch.revision = image_revision_;
+  watch.revision = snapshot_revision_;
   watch.wait_ms = 0;
   const bool sent = call_state(watch, [this, term](const StateReply& r) {
     if (term != term_) return;
-    if (r.status == 410) image_loaded_ = false;
+    if (r.status == 410) snapshot_loaded_ = false;
     if (r.status == 200) {
-      for (const StateItem& item : r.items) image_.apply(item);
-      image_revision_ = std::max(image_revision_, r.revision);
+      for (const StateItem& item : r.items) snapshot_.apply(item);
+      snapshot_revision_ = std::max(snapshot_revision_, r.revision);
     }
     finish_lookups(r.status == 200);
   });
@@ -254,13 +254,13 @@
   const bool sent = call_state(list, [this, term, revision](const StateReply& r) {
     if (term != term_) return;
     if (r.status != 200) return finish_lookups(false);
-    for (const StateItem& item : r.items) image_.apply(item);
+    for (const StateItem& item : r.items) snapshot_.apply(item);
     // Later pages may be newer than the first; changes since the first are read again by the next
     // refresh, and records carry their own sequence.
     const std::uint64_t first = revision == 0 ? r.revision : revision;
     if (r.more && !r.items.empty()) return refresh_list(r.items.back().key, first);
-    image_loaded_ = true;
-    image_revision_ = first;
+    snapshot_loaded_ = true;
+    snapshot_revision_ = first;
     finish_lookups(true);
   });
   if (!sent) finish_lookups(false);
@@ -268,7 +268,7 @@
 
 void Core::finish_lookups(bool ok) {
   refreshing_ = false;
-  if (ok) last_path_ = image_read_at_ = clock_.now;
+  if (ok) last_path_ = snapshot_read_at_ = clock_.now;
   const auto served = std::move(lookups_served_);
   lookups_served_.clear();
   for (const Lookup& l : served) {
@@ -276,9 +276,9 @@
       refuse(l.origin, "state not readable");
       continue;
     }
-    const auto it = image_.jobs.find(l.id);
-    if (it == image_.jobs.end()) {
-      answer_unknown(l.origin, !image_.unreadable.empty(), kNever);
+    const auto it = snapshot_.jobs.find(l.id);
+    if (it == snapshot_.jobs.end()) {
+      answer_unknown(l.origin, !snapshot_.unreadable.empty(), kNever);
       continue;
     }
     const JobRecord& r = it->second;
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -10,30 +10,30 @@
 /// later.
 constexpr int kKeepLeases = 2;
 /// A worker isn't sent to a nearer node again before so many leases have passed.
-constexpr int kSteerLeases = 4;
+constexpr int kRedirectLeases = 4;
 /// What is known of workers that were sent away is tidied up beyond so many.
-constexpr std::size_t kManySentAway = 2'000;
+constexpr std::size_t kManyRedirected = 2'000;
 }  // namespace
 
-Time Core::keep_span() const { return kKeepLeases * worker_lease(); }
+Time Core::keep_alive_span() const { return kKeepLeases * worker_lease(); }
 
 // Heartbeats come a thirtieth of a lease apart; a sibling whose echo of ours is older than this may
 // have lost us.
 Time Core::contact_span() const { return worker_lease() / 10; }
 
 bool Core::in_contact(const SiblingView& v) const {
-  return clock_.now - v.heard < worker_lease() / 8;
+  return clock_.now - v.last_heartbeat < worker_lease() / 8;
 }
 
 bool Core::reaches_leader(const SiblingView& v) const {
   return in_contact(v) && (v.leading || v.hears_leader);
 }
 
-void Core::may_keep(std::uint64_t epoch, Time until) {
-  if (epoch < keep_epoch_) return;
-  if (epoch > keep_epoch_) keep_until_ = 0;
-  keep_epoch_ = epoch;
-  keep_until_ = std::max(keep_until_, until);
+void Core::allow_keep_alive(std::uint64_t epoch, Time until) {
+  if (epoch < keep_alive_epoch_) return;
+  if (epoch > keep_alive_epoch_) keep_alive_until_ = 0;
+  keep_alive_epoch_ = epoch;
+  keep_alive_until_ = std::max(keep_alive_until_, until);
 }
 
 // The latest moment at which a sibling may have answered a report by itself, as far as it matters:
@@ -43,9 +43,9 @@
   Time latest = -kNever;
   for (const SiblingView& v : sibling_views_) {
     if (v.incarnation == 0) continue;
-    latest = std::max(latest, v.alone_at);
+    latest = std::max(latest, v.kept_alive_at);
     if (clock_.now - v.echo_at > contact_span())
-      latest = std::max(latest, v.heard + surely(keep_span()));
+      latest = std::max(latest, v.last_heartbeat + with_drift(keep_alive_span()));
   }
   return latest;
 }
@@ -54,7 +54,7 @@
 // siblings say holds as of the contact span ago: a lease has to have run out by then.
 Time Core::expiry(const Machine& m) const {
   const Time last = std::max(m.answered, siblings_answered());
-  const Time ours = last + surely(worker_lease()) + contact_span();
+  const Time ours = last + with_drift(worker_lease()) + contact_span();
   // Until the worker has seen our token, a former leader's answers may still renew its lease, and
   // so may those of the nodes that heard that leader.
   return m.reported ? ours : std::max(ours, fence_at_);
@@ -70,19 +70,19 @@
   for (std::size_t i = 0; sibling < 0 && i < sibling_views_.size(); ++i)
     if (sibling_views_[i].holding && in_contact(sibling_views_[i])) sibling = static_cast<int>(i);
   if (sibling < 0) return keep_alive(in.origin, in.report.machine, in.report.token, true);
-  if (!steer(in))
+  if (!redirect_to_own_zone(in))
     forward(in.origin, UserOp::Report, in.report.machine, in.raw, static_cast<std::size_t>(sibling),
             in.report.token);
 }
 
 // Sends a worker to a node of its own zone. When a zone was cut off, workers that reported to nodes
 // outside went from one to the next of them, 5 s each, until their leases had run out.
-bool Core::steer(const WorkerReport& in) {
+bool Core::redirect_to_own_zone(const WorkerReport& in) {
   const std::string& zone = in.report.zone;
   if (in.origin.kind != Origin::Kind::Local || zone == settings_.zone) return false;
-  if (was_sent_away(in.report.machine, kSteerLeases * worker_lease())) return false;
+  if (was_redirected(in.report.machine, kRedirectLeases * worker_lease())) return false;
   const std::optional<std::size_t> near = sibling_for_zone(zone);
-  if (near) send_away(in.origin, in.report.machine, *near);
+  if (near) redirect_worker(in.origin, in.report.machine, *near);
   return near.has_value();
 }
 
@@ -98,7 +98,7 @@
     if (settings_.siblings[i].zone != zone || !reaches_leader(v)) continue;
     if (v.hears_workers)
       hearing.push_back(i);
-    else if (clock_.now - v.tried_at >= kSteerLeases * worker_lease())
+    else if (clock_.now - v.tried_at >= kRedirectLeases * worker_lease())
       untried = i;
   }
   if (!hearing.empty()) return hearing[random_(static_cast<std::uint32_t>(hearing.size()))];
@@ -106,17 +106,17 @@
   return untried;
 }
 
-bool Core::was_sent_away(const std::string& machine, Time within) const {
-  const auto it = sent_away_.find(machine);
-  return it != sent_away_.end() && clock_.now - it->second < within;
+bool Core::was_redirected(const std::string& machine, Time within) const {
+  const auto it = redirected_at_.find(machine);
+  return it != redirected_at_.end() && clock_.now - it->second < within;
 }
 
-void Core::send_away(const Origin& origin, const std::string& machine, std::size_t sibling) {
-  if (sent_away_.size() > kManySentAway)
-    std::erase_if(sent_away_, [&](const auto& s) {
-      return clock_.now - s.second >= kSteerLeases * worker_lease();
+void Core::redirect_worker(const Origin& origin, const std::string& machine, std::size_t sibling) {
+  if (redirected_at_.size() > kManyRedirected)
+    std::erase_if(redirected_at_, [&](const auto& s) {
+      return clock_.now - s.second >= kRedirectLeases * worker_lease();
     });
-  sent_away_[machine] = clock_.now;
+  redirected_at_[machine] = clock_.now;
   answer(origin, 421, encode_redirect(settings_.siblings[sibling].name));
 }
 
@@ -124,18 +124,18 @@
 // answer; if it is so for us alone, the worker had better go elsewhere. Each is tried out once on
 // the node before us: if that can't be reached, the worker comes back to us next.
 void Core::keep_alive(const Origin& origin, const std::string& machine, std::uint64_t token,
-                      bool may_send_away) {
-  if (clock_.now >= keep_until_ || token != keep_epoch_)
+                      bool may_redirect) {
+  if (clock_.now >= keep_alive_until_ || token != keep_alive_epoch_)
     return answer(origin, 503, encode_error("no leader"));
-  if (may_send_away && !was_sent_away(machine, worker_lease())) {
+  if (may_redirect && !was_redirected(machine, worker_lease())) {
     for (std::size_t i = 0; i < sibling_views_.size(); ++i)
-      if (reaches_leader(sibling_views_[i])) return send_away(origin, machine, i);
-    if (!settings_.siblings.empty()) return send_away(origin, machine, node_before());
+      if (reaches_leader(sibling_views_[i])) return redirect_worker(origin, machine, i);
+    if (!settings_.siblings.empty()) return redirect_worker(origin, machine, node_before());
   }
-  if (clock_.now - alone_at_ > worker_lease())
-    log(Log::Level::Info, "event=keeps_alive for_ms=", keep_until_ - clock_.now);
-  alone_at_ = clock_.now;
-  answer(origin, 200, encode_report_answer(keep_epoch_, {}), 0, keep_until_);
+  if (clock_.now - kept_alive_at_ > worker_lease())
+    log(Log::Level::Info, "event=keeps_alive for_ms=", keep_alive_until_ - clock_.now);
+  kept_alive_at_ = clock_.now;
+  answer(origin, 200, encode_report_answer(keep_alive_epoch_, {}), 0, keep_alive_until_);
 }
 
 // The sibling that workers try just before us: they go by the nodes' numbers, the last of which the
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -14,25 +14,25 @@
   // A start goes with the answer to a machine's own report. One that answers inquiries, but reaches
   // no controller itself, once drew the work that waited again and again.
   return m.reported && m.sized && !m.draining && !m.releasing && !m.silent &&
-         clock_.now >= m.quarantined_until && clock_.now - m.came <= silent_after();
+         clock_.now >= m.quarantined_until && clock_.now - m.last_own_report <= silent_after();
 }
 
-Resources Core::room_beside(const Promises& promised, const Machine& m) {
+Resources Core::room_beside(const Reservations& promised, const Machine& m) {
   Resources room = m.room();
   if (const auto it = promised.find(&m); it != promised.end()) room -= it->second;
   return room;
 }
 
 Resources Core::room_to_come(const Machine& m) const {
-  Resources room = room_beside(claims_, m);
+  Resources room = room_beside(reservations_, m);
   for (const Placement& p : m.placements)
     if (p.held && (p.stop || p.moving)) room += p.need;
   return room;
 }
 
-void Core::forget_in_vain() {
-  full_.clear();
-  immovable_.clear();
+void Core::forget_failures() {
+  no_room_for_.clear();
+  no_eviction_for_.clear();
 }
 
 bool Core::never_fits(const JobSpec& s, std::string& why) const {
@@ -60,7 +60,7 @@
   return true;
 }
 
-bool Core::Want::as_much_as(const Want& o) const {
+bool Core::Requirement::as_much_as(const Requirement& o) const {
   return each.cpus >= o.each.cpus && each.gpus >= o.each.gpus &&
          each.memory_gb >= o.each.memory_gb && spot == o.spot && zone == o.zone &&
          any_type == o.any_type && types == o.types;
@@ -108,12 +108,12 @@
   placement_dirty_ = false;
   const Time now = clock_.now;
   const std::uint64_t examined = examined_;
-  claims_.clear();
+  reservations_.clear();
   for (const auto& [task, move] : moves_)
-    if (const Machine* m = tables_.machine(move.to)) claims_[m] += move.need;
+    if (const Machine* m = tables_.machine(move.to)) reservations_[m] += move.need;
   unmet_.clear();
   unmet_of_team_.clear();
-  forget_in_vain();
+  forget_failures();
   Queues all = note_guarantees();
   // The least that any of them needs: a machine with less is of no use to this pass.
   std::optional<Resources> least_need;
@@ -124,12 +124,12 @@
       least_need = Resources{std::min(least_need->cpus, n.cpus), std::min(least_need->gpus, n.gpus),
                              std::min(least_need->memory_gb, n.memory_gb)};
     }
-  roomy_.clear();
+  machines_with_room_.clear();
   if (least_need)
     for (auto& [name, m] : tables_.machines) {
       ++examined_;
-      if (!open(*m) || !least_need->fits_in(room_beside(claims_, *m))) continue;
-      roomy_.push_back(m.get());
+      if (!open(*m) || !least_need->fits_in(room_beside(reservations_, *m))) continue;
+      machines_with_room_.push_back(m.get());
       m->reserved.fill(0);
       for (const CachedImage& c : m->images)
         if (const auto i = tables_.image_priority.find(c.name); i != tables_.image_priority.end())
@@ -200,7 +200,7 @@
 // Places what it can of the job's tasks. Returns how many found no room; empty if the team is at
 // its limit.
 std::optional<std::uint32_t> Core::place_tasks(Job& job, bool one_by_one) {
-  Choice at_once(*this, job, false), queued(*this, job, true);
+  MachineRanking at_once(*this, job, false), queued(*this, job, true);
   std::uint32_t waiting = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
     if (!due(job, i)) continue;
@@ -215,7 +215,7 @@
       // Room there may be, but its machine is busy fetching: that room is kept, and none rented.
       Machine* later = queued.best();
       if (later == nullptr) return job.queued - waiting;
-      claims_[later] += job.spec().need;
+      reservations_[later] += job.spec().need;
       ++waiting;
       continue;
     }
@@ -227,7 +227,7 @@
 
 // The same of a gang, which starts as a whole or not at all.
 std::optional<std::uint32_t> Core::place_gang(Job& job) {
-  Choice choice(*this, job, true);
+  MachineRanking choice(*this, job, true);
   // Its tasks find each other by their attempt, which they share.
   const std::uint64_t attempt = attempt_number();
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
@@ -277,7 +277,7 @@
   if (wanted == 0) return;
   const Resources total{s.need.cpus * wanted, s.need.gpus * wanted, s.need.memory_gb * wanted};
   counted += total;
-  Want want = want_of(s);
+  Requirement want = requirement_of(s);
   auto it = std::find_if(unmet_.begin(), unmet_.end(), [&](const Unmet& u) {
     return u.guaranteed == job.guaranteed && u.want == want;
   });
@@ -306,7 +306,7 @@
       const Placement& p = m->placements[i];
       if (p.job == &job && p.state == PlaceState::Reserved) tables_.erase(*m, i);
     }
-  forget_in_vain();
+  forget_failures();
 }
 
 // Rises across epochs with nothing remembered.
@@ -319,8 +319,8 @@
   if (!node) return nullptr;
   Machine* m = tables_.machine(node.mapped().to);
   if (m == nullptr) return nullptr;
-  claims_[m] -= node.mapped().need;
-  forget_in_vain();
+  reservations_[m] -= node.mapped().need;
+  forget_failures();
   const bool possible = open(*m) && m->has_image(job.spec().image) &&
                         job.spec().need.fits_in(m->room()) && tables_.allowed(job, *m);
   return possible ? m : nullptr;
@@ -332,7 +332,7 @@
   const JobSpec& s = job.spec();
   has_room = false;
   if (!open(m)) return {};
-  const Resources room = room_beside(claims_, m);
+  const Resources room = room_beside(reservations_, m);
   if (!s.need.fits_in(room) || !tables_.suits(s, m)) return {};
   has_room = true;
   if (!tables_.zone_open(job, m)) return {};
@@ -360,27 +360,27 @@
 // Looks at every machine with room for the job once; after that, only at the best ones again, as
 // each of its tasks changes one machine. A look at all for each task grew with the fleet times the
 // waiting tasks: with 550 machines, passes came as far apart as they may, 3 s.
-void Core::Choice::begin() {
+void Core::MachineRanking::begin() {
   begun_ = true;
-  const Want want = want_of(job_.spec());
-  for (const Want& f : core_.full_)
+  const Requirement want = requirement_of(job_.spec());
+  for (const Requirement& f : core_.no_room_for_)
     if (want.as_much_as(f)) return;
-  for (std::size_t i = 0; i < core_.roomy_.size(); ++i) {
+  for (std::size_t i = 0; i < core_.machines_with_room_.size(); ++i) {
     ++core_.examined_;
     bool has_room = false;
-    const auto fit = core_.fit(job_, *core_.roomy_[i], may_queue_fetch_, has_room);
+    const auto fit = core_.fit(job_, *core_.machines_with_room_[i], may_queue_fetch_, has_room);
     if (fit) heap_.push_back({*fit, i});
     shut_ += has_room && !fit ? 1 : 0;
   }
   std::make_heap(heap_.begin(), heap_.end(), std::greater<>());
-  if (heap_.empty() && shut_ == 0) core_.full_.push_back(want);
+  if (heap_.empty() && shut_ == 0) core_.no_room_for_.push_back(want);
 }
 
-Machine* Core::Choice::best() {
+Machine* Core::MachineRanking::best() {
   if (!begun_) begin();
   while (!heap_.empty()) {
     ++core_.examined_;
-    Machine* m = core_.roomy_[heap_.front().index];
+    Machine* m = core_.machines_with_room_[heap_.front().index];
     bool has_room = false;
     const auto fit = core_.fit(job_, *m, may_queue_fetch_, has_room);
     if (fit && *fit <= heap_.front().fit) {
@@ -395,7 +395,7 @@
     }
     shut_ += has_room ? 1 : 0;
     heap_.pop_back();
-    if (heap_.empty() && shut_ == 0) core_.full_.push_back(want_of(job_.spec()));
+    if (heap_.empty() && shut_ == 0) core_.no_room_for_.push_back(requirement_of(job_.spec()));
   }
   return nullptr;
 }
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -80,16 +80,16 @@
 // Promises room for one more task of the job on some machine, stopping others there if need be.
 bool Core::make_room(const Job& job, bool warm_only) {
   const JobSpec& s = job.spec();
-  const Want want = want_of(s);
+  const Requirement want = requirement_of(s);
   // What was in vain for work of the same team and priority, which needs no more, is so again.
-  for (const Immovable& i : immovable_)
+  for (const FailedEviction& i : no_eviction_for_)
     if (i.priority == s.priority && i.team == job.team && i.guaranteed == job.guaranteed &&
         want.as_much_as(i.want))
       return false;
   if (stop_for(job, warm_only)) return true;
   // A job that minds the zones of its own tasks says nothing of others.
   if (!warm_only && !s.spread && !s.one_zone)
-    immovable_.push_back({want, s.priority, job.team, job.guaranteed});
+    no_eviction_for_.push_back({want, s.priority, job.team, job.guaranteed});
   return false;
 }
 
@@ -106,7 +106,7 @@
     best_eviction = std::move(*eviction);
   }
   if (best == nullptr) return false;
-  claims_[best] += job.spec().need;
+  reservations_[best] += job.spec().need;
   for (Placement* p : best_eviction.victims) {
     log(Log::Level::Info, "event=preempt machine=", best->name, " task=", p->key.job, "/",
         p->key.index, " for=", job.spec().id);
@@ -196,7 +196,7 @@
       continue;
     }
     ++it;
-    if (move.begun || clock_.now - to->came < soonest) continue;
+    if (move.begun || clock_.now - to->last_own_report < soonest) continue;
     move.begun = true;
     stop_task(*p, grace_for(*p->job));
   }
@@ -214,7 +214,7 @@
     ++examined_;
     if (!open(m) || !m.has_image(s.image) || !tables_.allowed(job, m)) continue;
     Resources room = room_to_come(m);
-    auto promised = claims_;
+    auto promised = reservations_;
     std::vector<PlannedMove> plan;
     for (Placement& p : m.placements) {
       if (s.need.fits_in(room) || plan.size() >= kMovesForAStart) break;
@@ -231,11 +231,11 @@
     best_plan = std::move(plan);
   }
   if (best == nullptr) return false;
-  claims_[best] += s.need;
+  reservations_[best] += s.need;
   for (const auto& [p, to] : best_plan) {
     log(Log::Level::Info, "event=move machine=", best->name, " task=", p->key.job, "/",
         p->key.index, " to=", to->name, " for=", s.id);
-    claims_[to] += p->need;
+    reservations_[to] += p->need;
     move(*p, *best, *to);
   }
   return true;
@@ -243,7 +243,7 @@
 
 // A machine that holds the image of a running replica and has room for it, beside what is promised.
 const Machine* Core::warm_room(const Placement& p, const Machine& from,
-                               const Promises& promised) const {
+                               const Reservations& promised) const {
   const JobSpec& s = p.job->spec();
   for (const auto& [name, m] : tables_.machines) {
     if (m.get() == &from || m->spot != from.spot || !open(*m)) continue;
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -9,11 +9,11 @@
 void Core::begin_rebuild() {
   role_ = Role::Leader;
   const Time now = clock_.now;
-  fence_at_ = led_since_ + surely(keep_span() + worker_lease());
+  fence_at_ = led_since_ + with_drift(keep_alive_span() + worker_lease());
   rebuilding_ = true;
   next_attempt_ = 1;
   next_rental_ = 1;
-  Image image = std::exchange(loading_, Image{});
+  Snapshot image = std::exchange(loading_, Snapshot{});
   note_unreadable(image);
   if (image.unreadable.contains(kHeadKey) || image.unreadable.contains(kEpochKey)) {
     revoke(lease_);
@@ -41,7 +41,7 @@
 
 // What an unreadable value held is unknown, and never taken for missing: jobs that may be in it get
 // 503, and it is not written over.
-void Core::note_unreadable(const Image& image) {
+void Core::note_unreadable(const Snapshot& image) {
   unknown_jobs_ = false;
   unknown_machines_ = false;
   for (const std::string& key : image.unreadable) {
@@ -51,7 +51,7 @@
   }
 }
 
-void Core::load_shards(const Image& image) {
+void Core::load_shards(const Snapshot& image) {
   shards_.clear();
   for (const std::string& key : image.unreadable)
     if (const auto shard = shard_number(key)) shards_.close(*shard);
@@ -63,7 +63,7 @@
   for (const std::string& id : image.in_head) tail_[id] = encode_record(image.jobs.at(id));
 }
 
-void Core::load_jobs(Image& image) {
+void Core::load_jobs(Snapshot& image) {
   for (const auto& [key, digits] : image.pieces)
     if (const auto it = image.jobs.find(key.first);
         it != image.jobs.end() && it->second.done.size() > 0)
@@ -103,14 +103,14 @@
   }
 }
 
-void Core::load_machines(const Image& image) {
+void Core::load_machines(const Snapshot& image) {
   for (const auto& [shard, list] : image.machines)
     for (const MachineRecord& record : list) {
       Machine& machine = tables_.add_machine(record.name, clock_.now);
       machine.address = record.address;
       machine.recorded = true;
       machine.images.assign(record.images.begin(), record.images.end());
-      machine.heard = clock_.now;
+      machine.last_report = clock_.now;
       machine.answered = clock_.now;
     }
 }
@@ -132,7 +132,7 @@
   }
   // One that died with the former leader would hold up everything for its lease and more (recorded
   // incident: 22 s). Returning it proves it gone.
-  if (!missing.empty()) look_for_dead();
+  if (!missing.empty()) detect_dead_machines();
   // So would one that the former leader had returned without having written so; the cloud doesn't
   // list that, and so nothing tells its zone.
   if (now - led_since_ > silent_after() && few_silent(missing.size(), recorded))
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -20,7 +20,7 @@
 void Core::worker_report(const WorkerReport& in) {
   const Time now = clock_.now;
   const Report& r = in.report;
-  if (in.origin.kind == Origin::Kind::Local) worker_heard_ = now;
+  if (in.origin.kind == Origin::Kind::Local) last_worker_report_ = now;
   if (role_ != Role::Leader) return forward_report(in);
   if (r.token > epoch_) {
     step_down("a worker has seen a higher token");
@@ -28,13 +28,13 @@
   }
   if (!in_command(now)) {
     // The worker's tasks live on for a bounded time while we can't tell whether we still lead.
-    if (now >= lease_deadline_ + keep_span())
+    if (now >= lease_deadline_ + keep_alive_span())
       return answer(in.origin, 503, encode_error("lease lapsed"));
-    if (Machine* m = tables_.machine(r.machine)) m->answered = m->heard = now;
+    if (Machine* m = tables_.machine(r.machine)) m->answered = m->last_report = now;
     return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0,
-                  lease_deadline_ + keep_span());
+                  lease_deadline_ + keep_alive_span());
   }
-  if (steer(in)) return;
+  if (redirect_to_own_zone(in)) return;
   if (released_.contains(r.machine))
     return answer(in.origin, 503, encode_error("machine was returned"));
   Machine* m = tables_.machine(r.machine);
@@ -45,11 +45,11 @@
       // A machine that reports but never takes our token hears nothing, or the reports are copies.
       // Its lease can't be told from answers that it may or may not get: so it gets none until the
       // lease has surely run out. Otherwise a rebuild would wait for it as long as it reports.
-      if (m->untaken_since == 0) m->untaken_since = now;
+      if (m->token_refused_since == 0) m->token_refused_since = now;
       if (now >= expiry(*m)) {
         m->lease_passed = true;
-        m->untaken_since = now;
-      } else if (now - m->untaken_since > worker_lease() / 2) {
+        m->token_refused_since = now;
+      } else if (now - m->token_refused_since > worker_lease() / 2) {
         return answer(in.origin, 503, encode_error("token not taken"));
       }
     }
@@ -58,7 +58,7 @@
   }
   if (!take_report(r, false)) return answer(in.origin, 503, encode_error("late report"));
   m = tables_.machine(r.machine);
-  m->came = now;
+  m->last_own_report = now;
   if (placement_dirty_ && now >= next_placement_) place_all();
   m->answered = now;
   const auto commands = commands_for(*m, r.seq);
@@ -77,14 +77,14 @@
   else if (r.session > m.session)
     next_session(m);
   note_address(m, r.address);
-  note_heard(m, r);
+  note_report(m, r);
 
   std::vector<bool> seen(m.placements.size(), false);
   for (const ReportedTask& t : r.tasks) take_task(m, t, seen);
   for (std::size_t i = seen.size(); i-- > 0;)
     if (!seen[i]) task_not_reported(m, i, r.seq, direct);
   // Not before the report is taken in: emptying the machine moves its placements about.
-  if (!m.error_jobs.empty()) judge(m);
+  if (!m.error_jobs.empty()) check_for_fault(m);
   if (r.notice_s && m.notice_until == 0) take_notice(m, *r.notice_s);
   if (m.empty() && m.idle_since == 0) m.idle_since = clock_.now;
   if (!m.empty()) m.idle_since = 0;
@@ -92,7 +92,7 @@
 }
 
 void Core::first_report(Machine& m, const Report& r) {
-  m.came = clock_.now;
+  m.last_own_report = clock_.now;
   m.zone = r.zone;
   m.type = r.type;
   m.spot = r.spot;
@@ -123,18 +123,18 @@
   dirty_machine_shards_.insert(machine_shard(m.name));
 }
 
-void Core::note_heard(Machine& m, const Report& r) {
+void Core::note_report(Machine& m, const Report& r) {
   const Time now = clock_.now;
   tables_.size_machine(m);
-  if (!m.reported || now - m.heard > silent_after()) m.steady_since = now;
+  if (!m.reported || now - m.last_report > silent_after()) m.steady_since = now;
   m.reported = true;
-  m.untaken_since = 0;
+  m.token_refused_since = 0;
   m.lease_passed = false;
   m.session = m.probe_session = r.session;
   m.seq = r.seq;
-  m.heard = now;
+  m.last_report = now;
   m.silent = false;
-  zone_away_.erase(m.zone);
+  zone_unreachable_at_.erase(m.zone);
   m.probe_failures = 0;
   // An answer to an inquiry renews no lease; but what the worker has at least is unknown to us when
   // we have only just met it.
@@ -372,7 +372,7 @@
 
 // A machine is faulty when several jobs failed on it that run elsewhere. Until that is known of
 // them, it gets no work.
-void Core::judge(Machine& m) {
+void Core::check_for_fault(Machine& m) {
   if (m.draining || m.error_jobs.size() < kFaultyJobs) return;
   const auto runs_elsewhere = [&](const std::string& id) {
     Job* job = tables_.job(id);
@@ -480,15 +480,16 @@
     if (!m->reported) continue;
     ++up;
     silent += m->silent ? 1 : 0;
-    fresh += now - m->heard <= unheard_after ? 1 : 0;
+    fresh += now - m->last_report <= unheard_after ? 1 : 0;
   }
   // Once, a leader that had lost all workers and siblings, but not the state service, kept its
   // lease while every task died (recorded incident on tbilisi-listings). Another may still reach
   // them. Where no sibling hears us either, a few workers that still come through change nothing of
   // that.
-  const bool alone = std::none_of(
-      sibling_views_.begin(), sibling_views_.end(),
-      [&](const SiblingView& v) { return v.hears_leader && now - v.heard <= unheard_after; });
+  const bool alone =
+      std::none_of(sibling_views_.begin(), sibling_views_.end(), [&](const SiblingView& v) {
+        return v.hears_leader && now - v.last_heartbeat <= unheard_after;
+      });
   if (in_command(now) && !settings_.siblings.empty() && up > 1 &&
       now - led_since_ > unheard_after && (fresh == 0 || (alone && fresh * 4 <= up)))
     return abdicate();
@@ -500,8 +501,8 @@
         release(m, "not heard since take-over");
       continue;
     }
-    if (!m.error_jobs.empty()) judge(m);
-    if (!m.silent && now - m.heard > silent_after()) {
+    if (!m.error_jobs.empty()) check_for_fault(m);
+    if (!m.silent && now - m.last_report > silent_after()) {
       m.silent = true;
       m.silent_since = now;
       drop_unsent(m);
@@ -518,14 +519,14 @@
     if (!in_command(now)) continue;
     inquire_if_due(m);
   }
-  if (in_command(now) && silent > 0) look_for_dead();
+  if (in_command(now) && silent > 0) detect_dead_machines();
 }
 
 // A machine that answers neither way is most likely dead, if others of its zone do answer directly.
 // Returning it proves that its tasks are gone, sooner than its lease would. Where none of the zone
 // is reached, the fault is rather between us and the zone, and leases are waited for: when two
 // zones were apart, a rule by the share of silent machines alone returned healthy ones.
-void Core::look_for_dead() {
+void Core::detect_dead_machines() {
   // What was up when the former leader ended, and hasn't been heard for as long, is silent too.
   const bool awaited = rebuilding_ && clock_.now - led_since_ > silent_after();
   const auto silent = [&](const Machine& m) {
@@ -545,12 +546,13 @@
     if (silent(*m)) {
       ++zone.silent;
       ++all_silent;
-    } else if (!m->address.empty() && (zone.witness == nullptr || m->came > zone.witness->came)) {
+    } else if (!m->address.empty() &&
+               (zone.witness == nullptr || m->last_own_report > zone.witness->last_own_report)) {
       zone.witness = m.get();
     }
   }
   for (const auto& [name, zone] : zones)
-    if (zone.witness == nullptr && zone.up > 1) zone_away_[name] = clock_.now;
+    if (zone.witness == nullptr && zone.up > 1) zone_unreachable_at_[name] = clock_.now;
   const bool few = few_silent(all_silent, all_up);
   for (auto& [name, m] : tables_.machines) {
     if (m->releasing || m->zone.empty() || !silent(*m) || m->probe_failures < 2) continue;
@@ -573,16 +575,16 @@
 
 // Of the zone's machines none was heard a short while ago. What is rented there can't be reached
 // either: a cut zone, having lost its machines, once got all the new ones.
-bool Core::zone_away(const std::string& zone) const {
-  const auto it = zone_away_.find(zone);
-  return it != zone_away_.end() && clock_.now - it->second < 2 * worker_lease();
+bool Core::zone_unreachable(const std::string& zone) const {
+  const auto it = zone_unreachable_at_.find(zone);
+  return it != zone_unreachable_at_.end() && clock_.now - it->second < 2 * worker_lease();
 }
 
 void Core::machine_gone(Machine& m, const char* why) {
   log(Log::Level::Info, "event=machine_gone machine=", m.name, " cause=\"", why, "\"");
   session_lost(m, why);
   if (m.recorded || m.record_dirty) dirty_machine_shards_.insert(machine_shard(m.name));
-  claims_.erase(&m);
+  reservations_.erase(&m);
   placement_dirty_ = true;
   tables_.machines.erase(std::string(m.name));
 }
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -319,7 +319,7 @@
           round_retry_ = clock_.now + 100;
           return;
         }
-        Image image;
+        Snapshot image;
         for (const StateItem& item : r.items) image.apply(item);
         if (image.head.seq == round_.seq && image.head.epoch == epoch_)
           round_committed(image.head_version);
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -27,9 +27,9 @@
 struct HeartbeatBody {
   std::uint64_t epoch, incarnation;
   std::int64_t clock;
-  std::uint64_t heard_incarnation;
-  std::int64_t heard_clock;
-  std::uint32_t keep_ms, alone_ms;
+  std::uint64_t acknowledged_incarnation;
+  std::int64_t acknowledged_clock;
+  std::uint32_t keep_ms, kept_alive_ms;
   std::uint8_t flags, reserved;
   std::uint16_t name_length;
 };
@@ -93,10 +93,10 @@
       m.heartbeat.hears_workers = (b.flags & kHearsWorkers) != 0;
       m.heartbeat.incarnation = b.incarnation;
       m.heartbeat.clock = b.clock;
-      m.heartbeat.heard_incarnation = b.heard_incarnation;
-      m.heartbeat.heard_clock = b.heard_clock;
+      m.heartbeat.acknowledged_incarnation = b.acknowledged_incarnation;
+      m.heartbeat.acknowledged_clock = b.acknowledged_clock;
       m.heartbeat.keep_ms = b.keep_ms;
-      if ((b.flags & kWasAlone) != 0) m.heartbeat.alone_ms = b.alone_ms;
+      if ((b.flags & kWasAlone) != 0) m.heartbeat.kept_alive_ms = b.kept_alive_ms;
       return true;
     }
     case PeerMessage::Kind::Request: {
@@ -129,13 +129,13 @@
       const auto flag = [](bool on, std::uint8_t bit) { return on ? unsigned{bit} : 0U; };
       const unsigned flags = flag(b.leading, kLeading) | flag(b.hears_leader, kHearsLeader) |
                              flag(b.holding, kHolding) | flag(b.hears_workers, kHearsWorkers) |
-                             flag(b.alone_ms.has_value(), kWasAlone);
-      return frame(
-          m.kind,
-          HeartbeatBody{b.epoch, b.incarnation, b.clock, b.heard_incarnation, b.heard_clock,
-                        b.keep_ms, b.alone_ms.value_or(0), static_cast<std::uint8_t>(flags), 0,
-                        static_cast<std::uint16_t>(b.node.size())},
-          b.node);
+                             flag(b.kept_alive_ms.has_value(), kWasAlone);
+      return frame(m.kind,
+                   HeartbeatBody{b.epoch, b.incarnation, b.clock, b.acknowledged_incarnation,
+                                 b.acknowledged_clock, b.keep_ms, b.kept_alive_ms.value_or(0),
+                                 static_cast<std::uint8_t>(flags), 0,
+                                 static_cast<std::uint16_t>(b.node.size())},
+                   b.node);
     }
     case PeerMessage::Kind::Request:
       return frame(m.kind,
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -21,12 +21,13 @@
   bool hears_workers = false;     // by itself
   std::uint64_t incarnation = 0;  // of the sending process; differs after a restart
   std::int64_t clock = 0;
-  std::uint64_t heard_incarnation = 0;  // of the receiver's latest heartbeat that the sender had
-  std::int64_t heard_clock = 0;
+  std::uint64_t acknowledged_incarnation =
+      0;  // of the receiver's latest heartbeat that the sender had
+  std::int64_t acknowledged_clock = 0;
   /// From `heard_clock` on, so long the receiver may keep workers' tasks alive by itself.
   std::uint32_t keep_ms = 0;
   /// How long ago the sender last did that.
-  std::optional<std::uint32_t> alone_ms;
+  std::optional<std::uint32_t> kept_alive_ms;
 };
 /// A user's request or a worker's report, handed on to the leader.
 struct PeerRequest {
--- a/src/storage/checkpoint.cpp
+++ b/src/storage/checkpoint.cpp
@@ -234,7 +234,7 @@
   return "{" + list_of("t", records) + "}";
 }
 
-void Image::apply(const StateItem& item) {
+void Snapshot::apply(const StateItem& item) {
   const std::string& key = item.key;
   if (key == kLeaderKey) {
     leader = item.deleted ? std::nullopt : decode_leader(item.value);
@@ -263,7 +263,7 @@
   }
 }
 
-void Image::apply_piece(const StateItem& item) {
+void Snapshot::apply_piece(const StateItem& item) {
   const std::string& key = item.key;
   const auto slash = key.rfind('/');
   const std::string_view prefix = kBitmapPrefix;
@@ -282,7 +282,8 @@
     unreadable.insert(key);
 }
 
-void Image::apply_machines(const json::Document& doc, const std::string& key, std::size_t shard) {
+void Snapshot::apply_machines(const json::Document& doc, const std::string& key,
+                              std::size_t shard) {
   auto& list = machines[shard];
   list.clear();
   const json::Value* values = json::member(doc, "m");
@@ -302,7 +303,7 @@
   }
 }
 
-void Image::apply_head(const json::Document& doc, std::uint64_t version) {
+void Snapshot::apply_head(const json::Document& doc, std::uint64_t version) {
   if (!json::get(doc, "q", head.seq) || !json::get(doc, "e", head.epoch))
     unreadable.insert(kHeadKey);
   head_version = version;
@@ -317,7 +318,7 @@
 }
 
 // The jobs that lie in the head or in a shard.
-void Image::apply_jobs(const json::Document& doc, const std::string& key) {
+void Snapshot::apply_jobs(const json::Document& doc, const std::string& key) {
   const auto shard = shard_number(key);
   const json::Value* list = json::member(doc, "t");
   if (list == nullptr || !list->IsArray()) {
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -123,7 +123,7 @@
 std::string encode_shard(const std::vector<std::string>& records);
 
 /// A node's picture of the checkpoint, kept by reading keys or their changes.
-class Image {
+class Snapshot {
  public:
   void apply(const StateItem& item);
 
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -121,11 +121,11 @@
   bool recorded = false;  // the checkpoint lists it
   bool record_dirty = false;
   std::uint64_t session = 0, seq = 0;
-  Time rented = 0;        // or first heard of
-  Time heard = 0;         // last fresh report
-  Time steady_since = 0;  // heard without a gap since then
-  Time came = 0;          // last report that it sent by itself
-  Time answered = 0;      // last answer that may have renewed its lease
+  Time rented = 0;           // or first heard of
+  Time last_report = 0;      // fresh, or a direct answer
+  Time steady_since = 0;     // heard without a gap since then
+  Time last_own_report = 0;  // last report that it sent by itself
+  Time answered = 0;         // last answer that may have renewed its lease
   Time idle_since = 0;
   bool draining = false;  // takes no more work
   std::string drain_cause;
@@ -137,11 +137,11 @@
   Time probe_at = 0;
   std::uint64_t probe_session = 1;
   std::uint32_t probe_failures = 0;
-  Time probe_failed = 0;       // when the last that failed was sent
-  Time notice_until = 0;       // 0: no notice
-  Time untaken_since = 0;      // reports that don't show our token, since then
-  bool lease_passed = false;   // before it ever took our token
-  Time quarantined_until = 0;  // gets no work: it doesn't hear us
+  Time probe_failed = 0;         // when the last that failed was sent
+  Time notice_until = 0;         // 0: no notice
+  Time token_refused_since = 0;  // reports that don't show our token, since then
+  bool lease_passed = false;     // before it ever took our token
+  Time quarantined_until = 0;    // gets no work: it doesn't hear us
   std::set<std::string> error_jobs;
   std::vector<Placement> placements;
   std::list<CachedImage> images;  // most recently used first
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -1,7 +1,7 @@
 // What users are told where troubles meet: no node may say less than another has said before.
 #include <gtest/gtest.h>
 
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -66,21 +66,21 @@
   }
 }
 
-class Looks : public ::testing::TestWithParam<Scene> {};
+class ConsistentAnswers : public ::testing::TestWithParam<Scenario> {};
 
 // Users ask at all nodes again and again within milliseconds and repeat the submission, right after
 // a job was accepted, ended or called cancelled; they cancel at once, as the last task ends, and
 // what is over already; some of what they send can't run.
-TEST_P(Looks, NoNodeSaysLessThanAnotherHasSaid) {
+TEST_P(ConsistentAnswers, NoNodeSaysLessThanAnotherHasSaid) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     DayPlan plan = quiet(seed * 3 + 100);
     plan.length = 260'000;
     World world(plan);
     world.run_until(1'000);
-    world.close_looks(plan.length);
+    world.poll_closely(plan.length);
     world.odd_requests(120'000);
     world.cancel_at_end(0.4, 120'000);
-    crowd(world, 0, 10, seed);
+    submit_mixed_jobs(world, 0, 10, seed);
     std::size_t next = 10;
     for (int round = 0; round < 5; ++round) {
       for (int k = 0; k < 10; ++k, ++next)
@@ -106,7 +106,7 @@
   }
 }
 
-const Scene kLooks[] = {
+const Scenario kScenarios[] = {
     {"WithNoOtherTrouble", [](World&, std::uint64_t) {}},
     {"WhileOnlyAnswersOfTheStateServiceAreLost",
      [](World& w, std::uint64_t) { w.late_writes(0.5, 6'000, true); }},
@@ -138,7 +138,8 @@
      [](World& w, std::uint64_t seed) { w.kill(leader_of(w), seed % 2 == 0 ? 300 : 5'000); }},
 };
 
-INSTANTIATE_TEST_SUITE_P(Scenes, Looks, ::testing::ValuesIn(kLooks), scene_name);
+INSTANTIATE_TEST_SUITE_P(Scenarios, ConsistentAnswers, ::testing::ValuesIn(kScenarios),
+                         scenario_name);
 
 // A sibling passes an answer of the leader's on only while it may still be said: not after the time
 // that came with it, reckoned from when the request left, and not after its own patience; however
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -2,7 +2,7 @@
 // yet is answered all the same.
 #include <gtest/gtest.h>
 
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -179,7 +179,7 @@
 
 // What is cancelled where its machines can't be asked, while every team is at its limit and the
 // leader changes: what is not accounted for counts against its team.
-class AtTheLimit : public ::testing::TestWithParam<Scene> {};
+class AtTheLimit : public ::testing::TestWithParam<Scenario> {};
 
 TEST_P(AtTheLimit, KeepsTheRules) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
@@ -187,7 +187,7 @@
     plan.length = 400'000;
     World world(plan);
     world.run_until(1'000);
-    world.close_looks(plan.length);
+    world.poll_closely(plan.length);
     for (std::size_t n = 0; n < 44; ++n) {
       JobSpec s = n % 2 == 0 ? service(job_id(n), 2) : array(job_id(n), 3, 40);
       s.team = n % 3 == 0 ? "blue" : "red";
@@ -205,7 +205,7 @@
   }
 }
 
-const Scene kLimitScenes[] = {
+const Scenario kLimitScenarios[] = {
     {"TheLeaderChangesAndSomeMachinesCantBeAsked",
      [](World& w, std::uint64_t seed) {
        for (int round = 0; round < 3; ++round) {
@@ -272,7 +272,8 @@
      }},
 };
 
-INSTANTIATE_TEST_SUITE_P(Scenes, AtTheLimit, ::testing::ValuesIn(kLimitScenes), scene_name);
+INSTANTIATE_TEST_SUITE_P(Scenarios, AtTheLimit, ::testing::ValuesIn(kLimitScenarios),
+                         scenario_name);
 
 }  // namespace
 }  // namespace sailreel::sim
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -2,7 +2,7 @@
 // reach: the rules hold, and once the troubles are over nothing is left waiting.
 #include <gtest/gtest.h>
 
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -24,7 +24,7 @@
     plan.length = 340'000;
     World world(plan);
     world.run_until(1'000);
-    world.close_looks(200'000);
+    world.poll_closely(200'000);
     world.cancel_at_end(0.05, 200'000);
     pcg32 random(seed);
     for (std::size_t n = 0; n < 640; ++n) {
@@ -182,7 +182,7 @@
     plan.length = 260'000;
     World world(plan);
     world.run_until(1'000);
-    crowd(world, 0, 12, seed);
+    submit_mixed_jobs(world, 0, 12, seed);
     world.run_until(45'000);
     const auto before = busy_machines(world);
     const std::set<std::string> healthy(before.begin(), before.end());
@@ -255,7 +255,7 @@
     plan.length = 300'000;
     World world(plan);
     world.run_until(1'000);
-    world.close_looks(plan.length);
+    world.poll_closely(plan.length);
     for (std::size_t n = 0; n < 14; ++n) {
       JobSpec s = n % 2 == 0 ? service(job_id(n), 3) : array(job_id(n), 5, 25);
       s.team = n % 3 == 0 ? "blue" : "red";
@@ -293,8 +293,8 @@
     plan.cancel_s = seed % 2 == 0 ? 12 : 30;
     World world(plan);
     world.run_until(1'000);
-    world.close_looks(plan.length);
-    crowd(world, 0, 16, seed);
+    world.poll_closely(plan.length);
+    submit_mixed_jobs(world, 0, 16, seed);
     world.run_until(50'000);
     world.cut_zone(seed % 2 == 0 ? "za" : "zb", 13'000 + static_cast<Time>(seed) * 4'000,
                    seed % 3 == 0);
@@ -319,7 +319,7 @@
     plan.length = 260'000;
     World world(plan);
     world.run_until(1'000);
-    crowd(world, 0, 8, seed);
+    submit_mixed_jobs(world, 0, 8, seed);
     world.run_until(50'000);
     std::set<std::string> mute;
     for (const auto& m : busy_machines(world))
--- a/tests/commit_test.cpp
+++ b/tests/commit_test.cpp
@@ -1,7 +1,7 @@
 // When checkpoint rounds are committed: users first, and within the limits of the state service.
 #include <gtest/gtest.h>
 
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 
 #include "sim/core_driver.hpp"
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -102,7 +102,7 @@
   const auto& job = *driver.core().tables().jobs.at("job-1");
   ASSERT_EQ(job.record.phase, Phase::Done) << "in memory";
   ASSERT_TRUE(job.dirty) << "the round took it all";
-  Image shard;
+  Snapshot shard;
   shard.apply({shard_key(0), driver.state().value_of(shard_key(0)), 1, false});
   ASSERT_TRUE(shard.jobs.at("job-100").done.test(0)) << "the shard was not written";
   EXPECT_EQ(shard.jobs.at("job-1").phase, Phase::Active);
--- a/tests/meetings_test.cpp
+++ b/tests/fault_pairs_test.cpp
@@ -7,12 +7,12 @@
 namespace sailreel::sim {
 namespace {
 
-class MeetingDay : public ::testing::TestWithParam<std::uint64_t> {};
+class FaultPairDay : public ::testing::TestWithParam<std::uint64_t> {};
 
-TEST_P(MeetingDay, KeepsTheRules) {
+TEST_P(FaultPairDay, KeepsTheRules) {
   DayPlan plan;
   plan.seed = GetParam();
-  plan.meetings = true;
+  plan.fault_pairs = true;
   plan.length = 330'000;
   plan.troubles_until = 190'000;
   // Other ratios of lease, cancellation and report.
@@ -32,7 +32,7 @@
   EXPECT_GT(world.checker().jobs_over(), plan.jobs / 2);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, MeetingDay, ::testing::Range<std::uint64_t>(1, 61),
+INSTANTIATE_TEST_SUITE_P(Seeds, FaultPairDay, ::testing::Range<std::uint64_t>(1, 61),
                          ::testing::PrintToStringParamName());
 
 }  // namespace
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -180,10 +180,10 @@
   heartbeat.heartbeat.hears_workers = true;
   heartbeat.heartbeat.incarnation = 7;
   heartbeat.heartbeat.clock = 1'000;
-  heartbeat.heartbeat.heard_incarnation = 8;
-  heartbeat.heartbeat.heard_clock = 900;
+  heartbeat.heartbeat.acknowledged_incarnation = 8;
+  heartbeat.heartbeat.acknowledged_clock = 900;
   heartbeat.heartbeat.keep_ms = 35'000;
-  heartbeat.heartbeat.alone_ms = 0;
+  heartbeat.heartbeat.kept_alive_ms = 0;
   const std::string bytes =
       encode_peer(request) + encode_peer(answer) + encode_peer(heartbeat) + encode_peer(lasting);
   pcg32 random(3);
@@ -205,10 +205,10 @@
   EXPECT_EQ(b.node, "node-0");
   EXPECT_EQ(b.incarnation, 7U);
   EXPECT_EQ(b.clock, 1'000);
-  EXPECT_EQ(b.heard_incarnation, 8U);
-  EXPECT_EQ(b.heard_clock, 900);
+  EXPECT_EQ(b.acknowledged_incarnation, 8U);
+  EXPECT_EQ(b.acknowledged_clock, 900);
   EXPECT_EQ(b.keep_ms, 35'000U);
-  EXPECT_EQ(b.alone_ms, 0U);  // just now, which isn't never
+  EXPECT_EQ(b.kept_alive_ms, 0U);  // just now, which isn't never
 }
 
 TEST(PeerFrames, DamagedStreamsAreClosedNotRead) {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -3,7 +3,7 @@
 
 #include <cstdio>
 
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/sim/core_driver.hpp
+++ b/tests/sim/core_driver.hpp
@@ -62,12 +62,12 @@
   }
 
   /// The checkpoint as another node would read it.
-  Image checkpoint() {
+  Snapshot checkpoint() {
     StateCall list;
     list.kind = StateCall::Kind::List;
     list.key = kPrefix;
     list.limit = 1'000;
-    Image image;
+    Snapshot image;
     state_.handle(list, false, now_, [&](const StateReply& reply) {
       for (const StateItem& item : reply.items) image.apply(item);
     });
--- a/tests/sim/scenes.hpp
+++ b/tests/sim/scenarios.hpp
@@ -39,20 +39,23 @@
 }
 
 /// What happens in the middle of such a day; a case of a test by its name.
-struct Scene {
+struct Scenario {
   const char* name;
   std::function<void(World&, std::uint64_t seed)> play;
   Time boots_ms = 0;
 };
 // NOLINTNEXTLINE(readability-identifier-naming): GoogleTest looks for this name
-inline void PrintTo(const Scene& scene, std::ostream* out) { *out << scene.name; }
-inline std::string scene_name(const ::testing::TestParamInfo<Scene>& p) { return p.param.name; }
+inline void PrintTo(const Scenario& scene, std::ostream* out) { *out << scene.name; }
+inline std::string scenario_name(const ::testing::TestParamInfo<Scenario>& p) {
+  return p.param.name;
+}
 
 inline std::string job_id(std::size_t n) { return "job-" + std::to_string(n); }
 
 /// Jobs of both kinds and teams from `first` on, within half a minute: replicas that stay, arrays
 /// of one to three tasks that end far apart, some bound to a zone or spread over them.
-inline void crowd(World& world, std::size_t first, std::size_t count, std::uint64_t seed) {
+inline void submit_mixed_jobs(World& world, std::size_t first, std::size_t count,
+                              std::uint64_t seed) {
   pcg32 random(seed * 77 + first);
   for (std::size_t n = first; n < first + count; ++n) {
     JobSpec s = n % 2 == 0 ? service(job_id(n), 1 + random(2))
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -131,7 +131,7 @@
 
 void World::cancel_at_end(double share, Time for_ms) { cancel_at_end_ = {share, now_ + for_ms}; }
 
-void World::close_looks(Time for_ms) { close_looks_until_ = now_ + for_ms; }
+void World::poll_closely(Time for_ms) { poll_closely_until_ = now_ + for_ms; }
 
 void World::odd_requests(Time for_ms) { odd_request(now_ + for_ms); }
 
@@ -194,10 +194,10 @@
 
 // What the operators saw break rules: troubles that meet. Two or three of them begin within
 // seconds, while users look closely and call jobs off; four such meetings a day.
-void World::plan_meetings() {
+void World::plan_fault_pairs() {
   const Time span = plan_.troubles_until - plan_.troubles_from;
   at(plan_.troubles_from, [this, span] {
-    close_looks(span);
+    poll_closely(span);
     odd_requests(span);
     cancel_at_end(0.3, span);
   });
@@ -206,14 +206,14 @@
     const Time when = plan_.troubles_from + n * span / kMeetings + random_(4'000);
     const std::uint32_t troubles = 2 + random_(2);
     for (std::uint32_t k = 0; k < troubles; ++k)
-      at(when + random_(2'500), [this] { meet(random_(16)); });
+      at(when + random_(2'500), [this] { inject_fault(random_(16)); });
     at(when + random_(2'500),
        [this] { cancel_now(4, random_(3) == 0 ? 2'000 + random_(12'000) : 0); });
   }
   at(plan_.troubles_until + ms(2 * plan_.lease_s), [this] { calm(); });
 }
 
-void World::meet(std::uint32_t kind) {
+void World::inject_fault(std::uint32_t kind) {
   const int lead = leader();
   const std::size_t target = lead >= 0 ? static_cast<std::size_t>(lead) : random_(3);
   const auto up = machines_up();
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -113,7 +113,7 @@
       checker_.told(u.spec.id, state, now_, u.asked);
       const bool ended = !u.over && (state == "done" || state == "cancelled");
       u.over = u.over || ended;
-      if ((first || ended) && now_ < close_looks_until_) look_closely(index);
+      if ((first || ended) && now_ < poll_closely_until_) poll_everywhere(index);
     }
   } else if (op == UserOp::Query && status != 404) {
     checker_.unanswered(u.spec.id, now_);
@@ -143,7 +143,7 @@
   });
 }
 
-void World::look_closely(std::size_t index) {
+void World::poll_everywhere(std::size_t index) {
   const std::string id = users_[index]->spec.id;
   for (std::size_t round = 0; round < 3; ++round)
     for (std::size_t node = 0; node < nodes_.size(); ++node)
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -142,8 +142,8 @@
   }
   housekeeping();
   plan_jobs();
-  if (plan.meetings)
-    plan_meetings();
+  if (plan.fault_pairs)
+    plan_fault_pairs();
   else if (plan.troubles)
     plan_troubles();
 }
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -24,8 +24,8 @@
   Time troubles_from = 40'000, troubles_until = 170'000;
   std::uint32_t jobs = 40;
   bool troubles = true;
-  bool meetings = false;    // troubles that meet, instead of single ones
-  std::uint32_t scale = 1;  // of the capacity and the teams; 12 machines at 1
+  bool fault_pairs = false;  // troubles that meet, instead of single ones
+  std::uint32_t scale = 1;   // of the capacity and the teams; 12 machines at 1
   double loss = 0.002;
   double late_copies = 0.01;
   double report_s = 1, lease_s = 10, cancel_s = 30;
@@ -86,7 +86,7 @@
   void cancel_at_end(double share, Time for_ms);
   /// Users ask at all nodes within milliseconds after a job was accepted, ended or cancelled,
   /// submit it again, and cancel some at once.
-  void close_looks(Time for_ms);
+  void poll_closely(Time for_ms);
   /// Repeated submissions, cancellations of jobs that are done, jobs that can't run or lack a
   /// field, and questions about jobs that nobody submitted.
   void odd_requests(Time for_ms);
@@ -212,7 +212,7 @@
   /// Sends a request; `then` gets its answer, unless that is lost or late.
   std::uint64_t request(std::size_t node, UserOp op, const std::string& id, const std::string& body,
                         std::function<void(int, const std::string&)> then);
-  void look_closely(std::size_t u);
+  void poll_everywhere(std::size_t u);
   void odd_request(Time until);
   void call_off(std::size_t u);
   void completed(const TaskKey& key);
@@ -240,8 +240,8 @@
   void controller_trouble(std::uint32_t kind, std::size_t target, Time span_ms, bool hold);
   void machine_trouble(std::uint32_t kind, const std::string& machine, Time span_ms, bool hold);
   void take_back(const std::string& machine);
-  void plan_meetings();
-  void meet(std::uint32_t kind);
+  void plan_fault_pairs();
+  void inject_fault(std::uint32_t kind);
   void plan_jobs();
 
   DayPlan plan_;
@@ -270,7 +270,7 @@
     return now_ < s.until && random_(1'000'000) < s.of * 1'000'000;
   }
   Share late_writes_, lost_answers_, for_next_, late_reports_, cancel_at_end_, slow_commands_;
-  Time close_looks_until_ = 0;
+  Time poll_closely_until_ = 0;
   std::vector<std::string> kept_reports_;
   std::set<std::string> mistaken_, faulty_;
   std::uint64_t copied_epoch_ = 0;
--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -46,7 +46,7 @@
   r.started = 17;
   r.done.set(3);
   r.done.set(39);
-  Image image;
+  Snapshot image;
   image.apply(item(shard_key(4), encode_shard({encode_record(r)})));
   ASSERT_TRUE(image.unreadable.empty());
   const JobRecord& back = image.jobs.at(r.spec.id);
@@ -62,7 +62,7 @@
   after.seq = 13;
   after.phase = Phase::Cancelled;
   for (const bool head_first : {true, false}) {
-    Image image;
+    Snapshot image;
     const auto head = item(kHeadKey, encode_head({13, 2, {}}, {encode_record(after)}));
     const auto shard = item(shard_key(0), encode_shard({encode_record(before)}));
     image.apply(head_first ? head : shard);
@@ -72,7 +72,7 @@
 }
 
 TEST(Checkpoint, HeadCarriesRentalsAndEpoch) {
-  Image image;
+  Snapshot image;
   image.apply(item(kHeadKey, encode_head({9, 4, {{"r-4-1", "box", "za", true, 3}}}, {})));
   EXPECT_EQ(image.head.seq, 9U);
   EXPECT_EQ(image.head.epoch, 4U);
@@ -84,7 +84,7 @@
 }
 
 TEST(Checkpoint, MachinesKeepTheirImages) {
-  Image image;
+  Snapshot image;
   image.apply(item(machines_key(3), encode_machines({{"m-000025", "10.0.0.1:1", {{"img-1", 42.5}}},
                                                      {"m-000026", "10.0.0.2:1", {}}})));
   const auto& list = image.machines.at(3);
@@ -102,7 +102,7 @@
   r.final = true;
   const std::string text = encode_record(r);
   EXPECT_LT(text.size(), 48U);
-  Image image;
+  Snapshot image;
   image.apply(item(shard_key(0), encode_shard({text})));
   EXPECT_TRUE(image.jobs.at(r.spec.id).final);
   EXPECT_EQ(image.jobs.at(r.spec.id).spec.tasks, 100'000U);
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -1,9 +1,9 @@
 // Changes of leader where a second trouble meets them. Each scene is named after its meeting in
-// docs/meetings.md, and played with several seeds among the same crowd of jobs, whose users look
-// closely all the time. Afterwards nothing may be left waiting or unanswered.
+// docs/fault-combinations.md, and played with several seeds among the same crowd of jobs, whose
+// users look closely all the time. Afterwards nothing may be left waiting or unanswered.
 #include <gtest/gtest.h>
 
-#include "sim/scenes.hpp"
+#include "sim/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -11,18 +11,18 @@
 constexpr std::uint64_t kSeeds = 6;
 constexpr Time kBegin = 55'000;
 
-class Takeover : public ::testing::TestWithParam<Scene> {};
+class Takeover : public ::testing::TestWithParam<Scenario> {};
 
 TEST_P(Takeover, KeepsTheRules) {
-  const Scene& scene = GetParam();
+  const Scenario& scene = GetParam();
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     DayPlan plan = quiet(seed * 13);
     plan.length = 500'000;
     plan.boots_ms = scene.boots_ms;
     World world(plan);
     world.run_until(1'000);
-    world.close_looks(plan.length);
-    crowd(world, 0, 16, seed);
+    world.poll_closely(plan.length);
+    submit_mixed_jobs(world, 0, 16, seed);
     world.run_until(kBegin);
     scene.play(world, seed % 8);
     world.run_until(world.now() + 60'000);
@@ -40,7 +40,7 @@
 
 void end_leader(World& world, Time for_ms) { world.kill(leader_of(world), for_ms); }
 
-const Scene kScenes[] = {
+const Scenario kScenarios[] = {
     {"OldReportsReachEveryControllerAsALeaderBegins",
      [](World& w, std::uint64_t seed) {
        for (int round = 0; round < 4; ++round) {
@@ -102,7 +102,7 @@
      [](World& w, std::uint64_t seed) {
        w.late_writes(0.4, 40'000, false);
        for (int round = 0; round < 3; ++round) {
-         crowd(w, 100 + static_cast<std::size_t>(round) * 8, 8, seed);
+         submit_mixed_jobs(w, 100 + static_cast<std::size_t>(round) * 8, 8, seed);
          if (round == 1) end_leader(w, 500);
          w.cancel_now(3, 0);
          w.run_until(w.now() + 6'000);
@@ -163,7 +163,7 @@
      }},
 };
 
-INSTANTIATE_TEST_SUITE_P(Scenes, Takeover, ::testing::ValuesIn(kScenes), scene_name);
+INSTANTIATE_TEST_SUITE_P(Scenarios, Takeover, ::testing::ValuesIn(kScenarios), scenario_name);
 
 }  // namespace
 }  // namespace sailreel::sim
