--- a/tests/storage_test.cpp
+++ b/tests/storage_test.cpp
@@ -4,7 +4,9 @@
 #include <pcg_random.hpp>
 
 #include "storage/checkpoint.hpp"
+#include "storage/job_shards.hpp"
 #include "storage/tables.hpp"
+#include "storage/transaction_builder.hpp"
 
 namespace sailreel {
 namespace {
@@ -158,5 +160,51 @@
   EXPECT_FALSE(t.allowed(job, b));  // one could be anywhere
 }
 
+TEST(JobShards, AJobStaysInItsShardAndFullOnesTakeNoMore) {
+  JobShards shards(100);
+  EXPECT_EQ(shards.place("job-1", 60), 0U);
+  EXPECT_EQ(shards.place("job-2", 60), 1U);
+  EXPECT_EQ(shards.place("job-3", 40), 0U);
+  EXPECT_EQ(shards.place("job-1", 500), 0U) << "its place doesn't depend on its size";
+  // A finished job shrinks, and leaves room to others.
+  shards.set_reserve("job-1", 10);
+  EXPECT_EQ(shards.place("job-4", 50), 0U);
+  EXPECT_EQ(shards.place("job-5", 1), 1U);
+  EXPECT_EQ(shards.jobs_in(0), (std::set<std::string>{"job-1", "job-3", "job-4"}));
+}
+
+TEST(JobShards, AClosedShardTakesNoJob) {
+  JobShards shards(100);
+  shards.close(0);
+  shards.add("job-1", 0, 10);
+  EXPECT_TRUE(shards.jobs_in(0).empty());
+  EXPECT_EQ(shards.place("job-1", 10), 1U);
+}
+
+TEST(TransactionBuilder, KeepsToTheLimitOfOperations) {
+  TransactionBuilder builder(3, 0);
+  EXPECT_TRUE(builder.put("a", "1"));
+  EXPECT_TRUE(builder.erase("b"));
+  EXPECT_FALSE(builder.put("c", "1"));
+  builder.limit_operations(4);
+  EXPECT_TRUE(builder.put("c", "1"));
+  EXPECT_FALSE(builder.erase("d"));
+  const StateCall call = std::move(builder).finish({{"epoch", 7}}, {"head", "{}", 0});
+  ASSERT_EQ(call.puts.size(), 3U);
+  EXPECT_EQ(call.puts.front().key, "head");
+  EXPECT_EQ(call.deletes, std::vector<std::string>{"b"});
+  ASSERT_EQ(call.conditions.size(), 1U);
+  EXPECT_EQ(call.conditions.front().version, 7U);
+}
+
+TEST(TransactionBuilder, KeepsToTheLimitOfBytes) {
+  constexpr std::size_t kValue = 8'000;
+  TransactionBuilder builder(100, 0);
+  std::size_t bytes = 0;
+  while (builder.put("key", std::string(kValue, 'x'))) bytes += kValue;
+  EXPECT_LE(bytes, std::size_t{64} * 1024);
+  EXPECT_GE(bytes, std::size_t{56} * 1024);
+}
+
 }  // namespace
 }  // namespace sailreel
