Test driver: what is still to be fed is the driver's own, not a local that a watch could outlive

Found by reading the change again: the reply of a call to the state service held a reference to a local vector, and a watch is answered long after the step that opened it. No test opens one so far.

--- a/tests/sim/core_driver.hpp
+++ b/tests/sim/core_driver.hpp
@@ -44,12 +44,11 @@
   }
 
   void step(Input input) {
-    std::vector<Input> inputs;
-    inputs.push_back(std::move(input));
-    while (!inputs.empty()) {
-      Input next = std::move(inputs.back());
-      inputs.pop_back();
-      for (Action& action : core_.step(Clock{now_, now_}, std::move(next))) act(action, inputs);
+    inputs_.push_back(std::move(input));
+    while (!inputs_.empty()) {
+      Input next = std::move(inputs_.back());
+      inputs_.pop_back();
+      for (const Action& action : core_.step(Clock{now_, now_}, std::move(next))) act(action);
     }
   }
 
@@ -75,24 +74,26 @@
   }
 
  private:
-  void act(Action& action, std::vector<Input>& inputs) {
-    if (auto* answer = std::get_if<Answer>(&action)) {
+  void act(const Action& action) {
+    if (const auto* answer = std::get_if<Answer>(&action)) {
       answers_[answer->origin.link] = *answer;
-    } else if (auto* call = std::get_if<CallState>(&action)) {
-      state_.handle(call->request, false, now_, [&inputs, id = call->call](StateReply reply) {
-        inputs.push_back(StateAnswer{id, std::move(reply)});
+    } else if (const auto* call = std::get_if<CallState>(&action)) {
+      state_.handle(call->request, false, now_, [this, id = call->call](StateReply reply) {
+        inputs_.push_back(StateAnswer{id, std::move(reply)});
       });
-    } else if (auto* cloud = std::get_if<CallCloud>(&action)) {
+    } else if (const auto* cloud = std::get_if<CallCloud>(&action)) {
       CloudReply reply;
       reply.status = 503;
-      inputs.push_back(CloudAnswer{cloud->call, reply});
-    } else if (auto* worker = std::get_if<CallWorker>(&action)) {
-      inputs.push_back(WorkerAnswer{worker->call, 0, {}});
+      inputs_.push_back(CloudAnswer{cloud->call, reply});
+    } else if (const auto* worker = std::get_if<CallWorker>(&action)) {
+      inputs_.push_back(WorkerAnswer{worker->call, 0, {}});
     }
   }
 
   Core core_;
   StateService state_;
+  /// What is still to be fed. A watch may be answered long after the step that opened it.
+  std::vector<Input> inputs_;
   Time now_ = 1'000;
   std::uint64_t next_origin_ = 0;
   std::map<std::uint64_t, Answer> answers_;
