Rounds keep to the limits announced for later; heartbeats say which version understands gangs

The checkpoint is now written within the smaller of both limits from the start: larger stored shards are left as they are, a larger head is copied to shards first, lists of machines drop images that don't fit, large bitmaps have smaller pieces once all controllers read them. A refused round is logged with its largest key, and followed by smaller ones.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -83,6 +83,7 @@
   void peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat);
   void send_heartbeats();
   [[nodiscard]] int leader_sibling() const;  // -1: unknown, or ourselves
+  [[nodiscard]] bool siblings_understand_gangs() const;
 
   // intake.cpp
   void user_request(const UserRequest& request);
@@ -125,12 +126,21 @@
   [[nodiscard]] std::size_t operations_allowed(double reserve_share);
   std::string record_text(Job& job, std::uint64_t seq);
   [[nodiscard]] std::size_t value_limit(double fill) const;
+  void send_spill();
+  void round_refused();
+  [[nodiscard]] std::size_t operations_limit() const;
+  [[nodiscard]] std::size_t head_bytes_of(const std::map<std::string, std::string>& tail) const;
+  [[nodiscard]] std::size_t rental_bytes() const;
+  [[nodiscard]] static std::size_t rental_size(const RentalRequest& rental);
+  void add_features(TransactionBuilder& transaction);
   std::size_t add_rentals(Head& head);
   void add_machine_shards(TransactionBuilder& transaction);
   bool add_machine_shard(TransactionBuilder& transaction, std::size_t shard);
   std::map<std::string, Job*> add_bitmaps(TransactionBuilder& transaction,
                                           std::vector<Job*>& postponed);
-  static bool add_bitmap(TransactionBuilder& transaction, Job& job);
+  [[nodiscard]] bool small_pieces() const;
+  bool add_bitmap(TransactionBuilder& transaction, Job& job);
+  static bool erase_bitmap(TransactionBuilder& transaction, Job& job);
   std::size_t flush_tail(TransactionBuilder& transaction);
   std::size_t reserve_for(const std::string& id, const std::string& text);
   std::string text_for_shard(const std::string& id);
@@ -145,6 +155,7 @@
   void begin_rebuild();
   void note_unreadable(const Snapshot& image);
   void load_shards(const Snapshot& image);
+  void load_rentals(const Snapshot& image);
   void load_jobs(Snapshot& image);
   void load_job(JobRecord record);
   void load_machines(const Snapshot& image);
@@ -191,6 +202,7 @@
   struct SiblingView {
     Time last_heartbeat = -kNever;
     bool leading = false, hears_leader = false, holding = false, hears_workers = false;
+    bool understands_gangs = false;  // as its present incarnation says
     std::uint64_t epoch = 0;
     std::uint64_t incarnation = 0;  // 0: never heard
     Time clock = 0;                 // its own, at its latest heartbeat
@@ -417,6 +429,10 @@
   Time last_worker_report_ = -kNever;  // by ourselves
   std::unordered_map<std::string, Time> redirected_at_;
 
+  // versions
+  /// Every controller understands gangs; written down in the checkpoint once that is so.
+  bool gangs_enabled_ = false, features_written_ = false;
+
   // followers' part in intake
   struct Forwarded {
     Origin origin;
@@ -479,10 +495,14 @@
     std::vector<Waiter> waiters;
     std::vector<std::string> machines_added, rentals;
     std::vector<FinishedTask> finished_tasks;
+    bool spill = false;     // copies records of the head to shards, and nothing else
+    bool features = false;  // writes down that all controllers understand gangs
   };
   Round round_;
   bool round_open_ = false;
   Time round_retry_ = kNever;
+  /// Rounds that the state service found too large.
+  unsigned refused_rounds_ = 0;
   std::vector<Waiter> waiting_next_;
   std::vector<FinishedTask> finished_next_;
 
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -308,6 +308,7 @@
   v.hears_leader = heartbeat.hears_leader;
   v.holding = heartbeat.holding;
   v.hears_workers = heartbeat.hears_workers;
+  v.understands_gangs = heartbeat.understands_gangs;
   if (heartbeat.kept_alive_ms)
     v.kept_alive_at = std::max(v.kept_alive_at, now - Time{*heartbeat.kept_alive_ms});
   if (heartbeat.acknowledged_incarnation == incarnation_) {
@@ -333,6 +334,7 @@
   b.hears_leader = leader_sibling() >= 0;
   b.holding = role_ == Role::Leader && now < lease_deadline_ + keep_alive_span();
   b.hears_workers = now - last_worker_report_ < silent_after();
+  b.understands_gangs = true;
   b.incarnation = incarnation_;
   b.clock = now;
   if (kept_alive_at_ >= 0)
@@ -346,6 +348,13 @@
   }
 }
 
+// Every controller that the settings name has said so. One that ended since comes back with the
+// same version or a later one.
+bool Core::siblings_understand_gangs() const {
+  return std::all_of(sibling_views_.begin(), sibling_views_.end(),
+                     [](const SiblingView& v) { return v.understands_gangs; });
+}
+
 int Core::leader_sibling() const {
   int best = -1;
   for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -326,6 +326,8 @@
     const std::string name = "r-" + std::to_string(epoch_) + "-" + std::to_string(next_rental_++);
     rental.request = {name, kind.type, zone, kind.spot, n};
     rental.since = clock_.now;
+    // The rest is asked for once these have been answered.
+    if (rental_bytes() + rental_size(rental.request) > value_limit(kRentalFill)) return;
     log(Log::Level::Info, "event=rent request=", name, " type=", kind.type, " zone=", zone,
         " spot=", kind.spot ? 1 : 0, " count=", n);
     rentals_[name] = std::move(rental);
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -5,6 +5,15 @@
 #include "protocol/worker_codec.hpp"
 
 namespace sailreel {
+namespace {
+void merge_pieces(Snapshot& image, const Snapshot::Pieces& pieces, std::size_t piece_bits) {
+  for (const auto& [key, digits] : pieces) {
+    const auto it = image.jobs.find(key.first);
+    if (it == image.jobs.end() || it->second.done.size() == 0) continue;
+    it->second.done.merge_hex(key.second * piece_bits, digits);
+  }
+}
+}  // namespace
 
 void Core::begin_rebuild() {
   role_ = Role::Leader;
@@ -25,8 +34,9 @@
   head_version_ = image.head_version;
   load_shards(image);
   load_jobs(image);
-  for (const RentalRequest& r : image.head.rentals)
-    rentals_[r.request] = {r, true, false, now, now};
+  load_rentals(image);
+  features_written_ = image.features.gangs;
+  gangs_enabled_ = gangs_enabled_ || image.features.gangs;
   load_machines(image);
   released_.clear();
   next_types_ = next_list_ = next_sizing_ = now;
@@ -51,10 +61,14 @@
   }
 }
 
+// A shard that is larger than may be written, as one of a time with higher limits, stays as it is:
+// what is stored stays readable. Its jobs go elsewhere when they change.
 void Core::load_shards(const Snapshot& image) {
-  shards_.clear();
+  shards_ = JobShards(value_limit(kValueFill));
   for (const std::string& key : image.unreadable)
     if (const auto shard = shard_number(key)) shards_.close(*shard);
+  for (const auto& [shard, bytes] : image.shard_bytes)
+    if (bytes > value_limit(kShardGrowthFill)) shards_.close(shard);
   for (const auto& [id, shard] : image.shard_of) {
     const JobRecord& record = image.jobs.at(id);
     shards_.add(id, shard, record_reserve(record.final, encode_record(record).size()));
@@ -63,11 +77,17 @@
   for (const std::string& id : image.in_head) tail_[id] = encode_record(image.jobs.at(id));
 }
 
+// Rentals beyond what the head may hold, as after a time with higher limits, are left out: machines
+// of theirs are found in the cloud's list and by their reports.
+void Core::load_rentals(const Snapshot& image) {
+  for (const RentalRequest& rental : image.head.rentals)
+    if (rental_bytes() + rental_size(rental) <= value_limit(kRentalFill))
+      rentals_[rental.request] = {rental, true, false, clock_.now, clock_.now};
+}
+
 void Core::load_jobs(Snapshot& image) {
-  for (const auto& [key, digits] : image.pieces)
-    if (const auto it = image.jobs.find(key.first);
-        it != image.jobs.end() && it->second.done.size() > 0)
-      it->second.done.merge_hex(key.second * kPieceBits, digits);
+  merge_pieces(image, image.pieces, kPieceBits);
+  merge_pieces(image, image.small_pieces, kSmallPieceBits);
   // Jobs in the order in which they were submitted: that is their order in their team's queue.
   std::vector<JobRecord*> records;
   for (auto& [id, record] : image.jobs) {
@@ -81,6 +101,10 @@
            std::pair(b->submitted_wall_ms, b->spec.id);
   });
   for (JobRecord* record : records) load_job(std::move(*record));
+  for (const auto& [key, digits] : image.pieces)
+    if (Job* job = tables_.job(key.first)) job->has_pieces = true;
+  for (const auto& [key, digits] : image.small_pieces)
+    if (Job* job = tables_.job(key.first)) job->has_small_pieces = true;
 }
 
 void Core::load_job(JobRecord record) {
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -1,4 +1,5 @@
 // Rounds: one checkpoint transaction at a time; all that waits goes into the next.
+#include <cmath>
 #include <utility>
 
 #include "coordination/core.hpp"
@@ -10,7 +11,12 @@
 constexpr double kHeadFill = 0.6;
 /// What the conditions of a round take, at most.
 constexpr std::size_t kConditionBytes = 1024;
+/// What stands between and around the records of a value, and the fields of a rental.
+constexpr std::size_t kPunctuationBytes = 64;
 constexpr std::size_t kMaxWaiting = 2'000;
+constexpr double kLeastValueKb = 1;
+/// Rounds don't get smaller than after so many refusals.
+constexpr unsigned kMostRefusals = 3;
 /// Shares of the burst of writes that are left to what is more urgent. A round that no user waits
 /// for leaves the larger one; beside its head, a round that users wait for leaves the smaller one
 /// to the next of its kind. Rounds that drew on the future once made submissions wait for 0.9 s.
@@ -24,8 +30,9 @@
 }  // namespace
 
 bool Core::round_needed() const {
-  return !dirty_jobs_.empty() || !dirty_machine_shards_.empty() || rentals_dirty_ ||
-         !waiting_next_.empty() || !finished_next_.empty();
+  return (!features_written_ && siblings_understand_gangs()) || !dirty_jobs_.empty() ||
+         !dirty_machine_shards_.empty() || rentals_dirty_ || !waiting_next_.empty() ||
+         !finished_next_.empty();
 }
 
 void Core::maybe_commit() {
@@ -62,25 +69,38 @@
   return encode_record(job.record);
 }
 
+// The limits of the settings; halved for each round that the state service refused all the same.
 std::size_t Core::value_limit(double fill) const {
-  return static_cast<std::size_t>(settings_.store.value_kb * 1024 * fill);
+  const double refused = std::exp2(static_cast<double>(refused_rounds_));
+  return static_cast<std::size_t>(std::max(kLeastValueKb, settings_.store.value_kb / refused) *
+                                  1024 * fill);
+}
+
+std::size_t Core::operations_limit() const {
+  return std::max<std::size_t>(1 + kLeastOperations, settings_.store.txn_ops >> refused_rounds_);
 }
 
 // Puts the next round together and sends it.
 void Core::send_round() {
   round_ = Round{};
-  round_.seq = head_seq_ + 1;
   round_.tail = tail_;
+  if (head_bytes_of(tail_) > value_limit(kValueFill)) return send_spill();
+  round_.seq = head_seq_ + 1;
   const std::size_t allowed =
       1 + (waiting_next_.empty()
                ? std::max(kLeastOperations, operations_allowed(kBackgroundReserve))
                : operations_allowed(kUrgentReserve));
-  const std::size_t most = settings_.store.txn_ops;
+  const std::size_t most = operations_limit();
   TransactionBuilder transaction(std::min(most, allowed), kConditionBytes + value_limit(1));
 
   Head head{round_.seq, epoch_, {}};
   std::size_t head_bytes = add_rentals(head);
+  add_features(transaction);
+  // Where a transaction takes few changes, lists of machines leave some to a head that fills up.
+  if (head_bytes_of(round_.tail) > value_limit(kHeadFill))
+    transaction.limit_operations(1 + (std::min(most, allowed) - 1) / 2);
   add_machine_shards(transaction);
+  transaction.limit_operations(std::min(most, allowed));
   // Users may wait for what depends on these.
   if (!waiting_next_.empty()) transaction.limit_operations(most);
   std::vector<Job*> postponed;
@@ -111,18 +131,54 @@
   resolve_round();
 }
 
+// What a head with these records, and the open rentals, takes.
+std::size_t Core::head_bytes_of(const std::map<std::string, std::string>& tail) const {
+  std::size_t bytes = rental_bytes();
+  for (const auto& [id, text] : tail) bytes += text.size() + 1;
+  return bytes;
+}
+
+std::size_t Core::rental_bytes() const {
+  std::size_t bytes = kPunctuationBytes;
+  for (const auto& [request, rental] : rentals_) bytes += rental_size(rental.request);
+  return bytes;
+}
+
+std::size_t Core::rental_size(const RentalRequest& rental) {
+  return kPunctuationBytes + rental.request.size() + rental.type.size() + rental.zone.size();
+}
+
+// A head of a time with higher limits is too large to be written again with one change: first its
+// records are copied to shards, a few in each round, while the head stays as it is. Each shard is
+// written once, and always with the same records: so a copy of such a transaction that is carried
+// out late changes nothing, although no key that it is conditional on has changed meanwhile.
+void Core::send_spill() {
+  round_.spill = true;
+  round_.seq = head_seq_;
+  TransactionBuilder transaction(operations_limit(), kConditionBytes);
+  flush_tail(transaction);
+  round_.call =
+      std::move(transaction).finish({{kEpochKey, epoch_version_}, {kHeadKey, head_version_}});
+  log(Log::Level::Info, "event=head_divided left=", round_.tail.size());
+  round_open_ = true;
+  resolve_round();
+}
+
 // The open rentals lie in the head; what they take isn't there for jobs. Returns their size.
 std::size_t Core::add_rentals(Head& head) {
-  constexpr std::size_t kPunctuationBytes = 64;
-  std::size_t bytes = kPunctuationBytes;
   for (const auto& [request, rental] : rentals_) {
     head.rentals.push_back(rental.request);
-    bytes += kPunctuationBytes + request.size() + rental.request.type.size() +
-             rental.request.zone.size();
     round_.rentals.push_back(request);
   }
   rentals_dirty_ = false;
-  return bytes;
+  return rental_bytes();
+}
+
+// Once every controller understands gangs, that is written down: a later leader need not hear all
+// of them again.
+void Core::add_features(TransactionBuilder& transaction) {
+  if (features_written_ || !siblings_understand_gangs()) return;
+  round_.features = transaction.put(kFeaturesKey, encode_features({.gangs = true}));
 }
 
 void Core::add_machine_shards(TransactionBuilder& transaction) {
@@ -137,19 +193,17 @@
 
 bool Core::add_machine_shard(TransactionBuilder& transaction, std::size_t shard) {
   std::vector<MachineRecord> list;
-  for (const auto& [name, m] : tables_.machines)
-    if (machine_shard(name) == shard && (m->recorded || m->record_dirty))
-      list.push_back({name, m->address, {m->images.begin(), m->images.end()}});
-  std::string value = encode_machines(list);
-  if (value.size() > value_limit(kValueFill)) {
-    // Images are worth knowing after a take-over, but only the machines have to be known.
-    for (MachineRecord& record : list) record.images.clear();
-    value = encode_machines(list);
+  std::vector<std::string> names;
+  for (const auto& [name, m] : tables_.machines) {
+    if (machine_shard(name) != shard || !(m->recorded || m->record_dirty)) continue;
+    list.push_back({name, m->address, {m->images.begin(), m->images.end()}});
+    names.push_back(name);
   }
+  const std::string value = encode_machines_within(std::move(list), value_limit(kValueFill));
   const std::string key = machines_key(shard);
-  if (!(list.empty() ? transaction.erase(key) : transaction.put(key, std::move(value))))
-    return false;
-  for (const MachineRecord& record : list) round_.machines_added.push_back(record.name);
+  const bool added = names.empty() ? transaction.erase(key) : transaction.put(key, value);
+  if (!added) return false;
+  round_.machines_added.insert(round_.machines_added.end(), names.begin(), names.end());
   dirty_machine_shards_.erase(shard);
   stale_image_shards_.erase(shard);
   return true;
@@ -168,17 +222,43 @@
   return whole;
 }
 
+// Whether pieces of the larger kind may be too large to be written. As long as a controller of an
+// older version may lead, which reads only these, they are written all the same, unless that was
+// refused before.
+bool Core::small_pieces() const {
+  return value_limit(1) < encode_piece(std::string(kPieceBits / kBitsPerDigit, '0')).size() &&
+         (gangs_enabled_ || refused_rounds_ > 0);
+}
+
 bool Core::add_bitmap(TransactionBuilder& transaction, Job& job) {
+  if (job.record.final) return erase_bitmap(transaction, job);
+  const bool small = small_pieces();
+  const std::size_t bits = small ? kSmallPieceBits : kPieceBits;
+  const std::size_t small_per_piece = bits / kSmallPieceBits;
+  while (!job.dirty_pieces.empty()) {
+    const std::size_t piece = *job.dirty_pieces.begin() / small_per_piece;
+    const std::string& id = job.spec().id;
+    const std::string key = small ? small_bitmap_key(id, piece) : bitmap_key(id, piece);
+    if (!transaction.put(key, encode_piece(job.record.done.hex(piece * bits, bits)))) return false;
+    (small ? job.has_small_pieces : job.has_pieces) = true;
+    const std::size_t first = piece * small_per_piece;
+    job.dirty_pieces.erase(job.dirty_pieces.lower_bound(first),
+                           job.dirty_pieces.lower_bound(first + small_per_piece));
+  }
+  return true;
+}
+
+// A finished job's pieces are deleted, as far as there are any. `dirty_pieces` says which are left.
+bool Core::erase_bitmap(TransactionBuilder& transaction, Job& job) {
+  const std::string& id = job.spec().id;
+  constexpr std::size_t kSmallPerPiece = kPieceBits / kSmallPieceBits;
   while (!job.dirty_pieces.empty()) {
     const std::size_t piece = *job.dirty_pieces.begin();
-    const std::string key = bitmap_key(job.spec().id, piece);
-    // A finished job's pieces are deleted, as far as there are any.
-    const bool added =
-        job.record.final
-            ? transaction.erase(key)
-            : transaction.put(
-                  key, "{\"h\":\"" + job.record.done.hex(piece * kPieceBits, kPieceBits) + "\"}");
-    if (!added) return false;
+    const bool first_of_piece = piece % kSmallPerPiece == 0;
+    if (job.has_pieces && first_of_piece &&
+        !transaction.erase(bitmap_key(id, piece / kSmallPerPiece)))
+      return false;
+    if (job.has_small_pieces && !transaction.erase(small_bitmap_key(id, piece))) return false;
     job.dirty_pieces.erase(piece);
   }
   return true;
@@ -192,18 +272,22 @@
     by_shard[shards_.place(id, reserve_for(id, text))].push_back(id);
   std::size_t freed = 0;
   for (const auto& [shard, ids] : by_shard) {
-    constexpr std::size_t kPunctuationBytes = 32;
     std::vector<std::string> records;
     std::size_t bytes = kPunctuationBytes;
-    for (const std::string& id : shards_.jobs_in(shard)) {
+    const std::set<std::string> jobs_in_shard = shards_.jobs_in(shard);
+    for (const std::string& id : jobs_in_shard) {
       std::string text = text_for_shard(id);
       if (text.empty()) continue;
       shards_.set_reserve(id, reserve_for(id, text));
       bytes += text.size() + 1;
       records.push_back(std::move(text));
     }
-    if (bytes > value_limit(1) || !transaction.put(shard_key(shard), encode_shard(records)))
+    if (bytes > value_limit(kShardGrowthFill)) {
+      // It has outgrown its value: its jobs go elsewhere with their next change, these at once.
+      shards_.close(shard);
       continue;
+    }
+    if (!transaction.put(shard_key(shard), encode_shard(records))) continue;
     for (const std::string& id : ids) {
       freed += round_.tail[id].size() + 1;
       round_.tail.erase(id);
@@ -287,12 +371,28 @@
       true);
 }
 
+// Too large, although it is within the limits as we know them. Whether an earlier copy of it was
+// carried out isn't known; whoever leads next reads that, and writes smaller rounds.
+void Core::round_refused() {
+  std::size_t largest = 0;
+  std::string key;
+  for (const StateCall::Put& put : round_.call.puts) {
+    if (put.value.size() < largest) continue;
+    largest = put.value.size();
+    key = put.key;
+  }
+  log(Log::Level::Error, "event=round_refused seq=", round_.seq,
+      " operations=", round_.call.puts.size() + round_.call.deletes.size(), " largest_key=", key,
+      " largest_bytes=", largest);
+  refused_rounds_ = std::min(kMostRefusals, refused_rounds_ + 1);
+  revoke(lease_);
+  lease_deadline_ = std::min(lease_deadline_, clock_.now);
+  step_down("the state service refuses a round");
+}
+
 void Core::round_done(const StateReply& reply) {
   if (reply.status == 200) return round_committed(reply.revision);
-  if (reply.status == 400) {
-    log(Log::Level::Error, "event=round_refused seq=", round_.seq);
-    return step_down("the state service finds the checkpoint malformed");
-  }
+  if (reply.status == 400) return round_refused();
   if (reply.status != 409) {
     round_retry_ = clock_.now + (reply.status == 0 ? 0 : 100);
     // Whoever waits is told at once to come back; what they asked for goes on to be written, and a
@@ -305,6 +405,7 @@
       log(Log::Level::Info, "event=round_retry seq=", round_.seq, " status=", reply.status);
     return;
   }
+  if (round_.spill) return step_down("the checkpoint is another's");
   // Either an earlier copy of it was carried out, or another leads.
   const std::uint64_t term = term_;
   StateCall get;
@@ -334,9 +435,14 @@
   round_ = Round{};
   round_open_ = false;
   round_retry_ = kNever;
+  tail_ = std::move(r.tail);
+  if (r.spill) return;
   head_seq_ = r.seq;
   head_version_ = revision;
-  tail_ = std::move(r.tail);
+  if (r.features) {
+    features_written_ = gangs_enabled_ = true;
+    log(Log::Level::Info, "event=gangs_enabled");
+  }
   for (const std::string& name : r.machines_added)
     if (Machine* m = tables_.machine(name)) {
       if (!m->recorded) placement_dirty_ = true;
@@ -403,7 +509,7 @@
   touch(job);
   if (job.record.phase == Phase::Active) cancel_over(job);
   if (job.spec().tasks > kInlineBits)
-    for (std::size_t i = 0; i * kPieceBits < job.spec().tasks; ++i) job.dirty_pieces.insert(i);
+    for (std::size_t i = 0; i * kSmallPieceBits < job.spec().tasks; ++i) job.dirty_pieces.insert(i);
 }
 
 void Core::touch(Job& job) {
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -54,7 +54,7 @@
 constexpr std::uint32_t kForEver = UINT32_MAX;
 
 constexpr std::uint8_t kLeading = 1, kHearsLeader = 2, kHolding = 4, kHearsWorkers = 8,
-                       kWasAlone = 16;
+                       kWasAlone = 16, kUnderstandsGangs = 32;
 
 template <typename Body>
 std::string frame(PeerMessage::Kind kind, const Body& body, std::string_view a,
@@ -91,6 +91,7 @@
       m.heartbeat.hears_leader = (b.flags & kHearsLeader) != 0;
       m.heartbeat.holding = (b.flags & kHolding) != 0;
       m.heartbeat.hears_workers = (b.flags & kHearsWorkers) != 0;
+      m.heartbeat.understands_gangs = (b.flags & kUnderstandsGangs) != 0;
       m.heartbeat.incarnation = b.incarnation;
       m.heartbeat.clock = b.clock;
       m.heartbeat.acknowledged_incarnation = b.acknowledged_incarnation;
@@ -129,7 +130,8 @@
       const auto flag = [](bool on, std::uint8_t bit) { return on ? unsigned{bit} : 0U; };
       const unsigned flags = flag(b.leading, kLeading) | flag(b.hears_leader, kHearsLeader) |
                              flag(b.holding, kHolding) | flag(b.hears_workers, kHearsWorkers) |
-                             flag(b.kept_alive_ms.has_value(), kWasAlone);
+                             flag(b.kept_alive_ms.has_value(), kWasAlone) |
+                             flag(b.understands_gangs, kUnderstandsGangs);
       return frame(m.kind,
                    HeartbeatBody{b.epoch, b.incarnation, b.clock, b.acknowledged_incarnation,
                                  b.acknowledged_clock, b.keep_ms, b.kept_alive_ms.value_or(0),
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -17,9 +17,10 @@
   std::string node;
   std::uint64_t epoch = 0;
   bool leading = false, hears_leader = false;
-  bool holding = false;           // led, and still answers reports, without commands
-  bool hears_workers = false;     // by itself
-  std::uint64_t incarnation = 0;  // of the sending process; differs after a restart
+  bool holding = false;            // led, and still answers reports, without commands
+  bool hears_workers = false;      // by itself
+  bool understands_gangs = false;  // not said by versions before gangs, and ignored by them
+  std::uint64_t incarnation = 0;   // of the sending process; differs after a restart
   std::int64_t clock = 0;
   std::uint64_t acknowledged_incarnation =
       0;  // of the receiver's latest heartbeat that the sender had
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -1,5 +1,6 @@
 #include "protocol/settings.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <set>
 
@@ -63,6 +64,43 @@
   return e;
 }
 
+namespace {
+
+/// The least that a checkpoint can be kept in: a head and one shard a round, with a few records.
+constexpr double kLeastNextValueKb = 1;
+constexpr std::uint64_t kLeastNextOperations = 3;
+/// Without the fields that time gangs, these shares of the workers' lease stand for them.
+constexpr double kDefaultGangWaitLeases = 2;
+constexpr double kDefaultGangPeerLeases = 0.25;
+
+// Lowers the limits to those that the state service will have later, as far as they are given.
+void lower_to_next_limits(const json::Value& state, Settings& settings) {
+  const json::Value* next = json::member(state, "next");
+  if (next == nullptr) return;
+  const std::string path = "settings.state.next";
+  if (!next->IsObject()) fail(path, "not an object");
+  const auto lower = [&](const char* name, double& limit) {
+    if (json::member(*next, name) == nullptr) return;
+    limit = std::min(limit, number(*next, name, path + "." + name, true));
+  };
+  lower("rps", settings.store.rps);
+  lower("write_rps", settings.store.write_rps);
+  lower("value_kb", settings.store.value_kb);
+  if (settings.store.value_kb < kLeastNextValueKb) fail(path + ".value_kb", "must be at least 1");
+  if (json::member(*next, "txn_ops") == nullptr) return;
+  std::uint64_t operations = 0;
+  if (!json::get(*next, "txn_ops", operations) || operations < kLeastNextOperations)
+    fail(path + ".txn_ops", "not a whole number of at least 3");
+  settings.store.txn_ops = std::min(settings.store.txn_ops, operations);
+}
+
+double optional_span(const json::Value& v, const char* name, const std::string& path,
+                     double fallback) {
+  return json::member(v, name) == nullptr ? fallback : number(v, name, path, true);
+}
+
+}  // namespace
+
 Settings parse_settings(std::string_view input) {
   json::Document doc;
   if (!json::parse_object(input, doc)) fail("(file)", "not a JSON object");
@@ -123,6 +161,10 @@
   s.workers.cancel_s = number(w, "cancel_s", "settings.workers.cancel_s", true);
   if (s.workers.cancel_s <= s.workers.lease_s)
     fail("settings.workers.cancel_s", "must be above settings.workers.lease_s");
+  s.workers.gang_wait_s = optional_span(w, "gang_wait_s", "settings.workers.gang_wait_s",
+                                        kDefaultGangWaitLeases * s.workers.lease_s);
+  s.workers.gang_peer_s = optional_span(w, "gang_peer_s", "settings.workers.gang_peer_s",
+                                        kDefaultGangPeerLeases * s.workers.lease_s);
   const auto& st = object(p, "state", "settings.state");
   s.store.rps = number(st, "rps", "settings.state.rps", true);
   s.store.write_rps = number(st, "write_rps", "settings.state.write_rps", true);
@@ -130,6 +172,7 @@
   if (s.store.value_kb < 4) fail("settings.state.value_kb", "must be at least 4");
   if (!json::get(st, "txn_ops", s.store.txn_ops) || s.store.txn_ops < 4)
     fail("settings.state.txn_ops", "missing or not a whole number of at least 4");
+  lower_to_next_limits(st, s);
   const auto& c = object(p, "cloud", "settings.cloud");
   s.market.rps = number(c, "rps", "settings.cloud.rps", true);
   s.market.list_lag_s = number(c, "list_lag_s", "settings.cloud.list_lag_s", false);
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -35,7 +35,12 @@
   std::vector<Objective> objectives;
   struct {
     double report_s = 0, lease_s = 0, cancel_s = 0;
+    /// How long a task of a gang waits for the others, and within what time the tasks of a running
+    /// gang notice that one is gone.
+    double gang_wait_s = 0, gang_peer_s = 0;
   } workers;
+  /// What the state service takes: the smaller of its present limits and of those announced for
+  /// later (`state.next`), which come without notice.
   struct {
     double rps = 0, write_rps = 0, value_kb = 0;
     std::uint64_t txn_ops = 0;
--- a/src/storage/checkpoint.cpp
+++ b/src/storage/checkpoint.cpp
@@ -87,6 +87,13 @@
 std::string bitmap_key(const std::string& job, std::size_t piece) {
   return numbered((kBitmapPrefix + job + "/").c_str(), piece);
 }
+std::string small_bitmap_key(const std::string& job, std::size_t piece) {
+  return numbered((kSmallBitmapPrefix + job + "/").c_str(), piece);
+}
+std::string encode_piece(const std::string& digits) { return "{\"h\":\"" + digits + "\"}"; }
+std::string encode_features(const Features& features) {
+  return std::string("{\"gangs\":") + (features.gangs ? "true" : "false") + "}";
+}
 std::string machines_key(std::size_t shard) { return numbered(kMachinesPrefix, shard); }
 
 std::size_t machine_shard(std::string_view name) {
@@ -212,6 +219,19 @@
   return json::text(b);
 }
 
+std::string encode_machines_within(std::vector<MachineRecord> machines, std::size_t limit) {
+  std::size_t images = 0;
+  for (const MachineRecord& machine : machines) images = std::max(images, machine.images.size());
+  std::string value = encode_machines(machines);
+  while (value.size() > limit && images > 0) {
+    images = images * 3 / 4;
+    for (MachineRecord& machine : machines)
+      if (machine.images.size() > images) machine.images.resize(images);
+    value = encode_machines(machines);
+  }
+  return value;
+}
+
 std::string encode_head(const Head& head, const std::vector<std::string>& records) {
   rapidjson::StringBuffer b;
   json::Writer w(b);
@@ -241,7 +261,9 @@
     return;
   }
   unreadable.erase(key);
-  if (key.starts_with(kBitmapPrefix)) return apply_piece(item);
+  if (key.starts_with(kBitmapPrefix)) return apply_piece(item, kBitmapPrefix, pieces);
+  if (key.starts_with(kSmallBitmapPrefix))
+    return apply_piece(item, kSmallBitmapPrefix, small_pieces);
   if (item.deleted) {
     if (const auto shard = number_after(key, kMachinesPrefix)) machines.erase(*shard);
     return;
@@ -258,26 +280,35 @@
     apply_machines(doc, key, *shard);
   } else if (key == kHeadKey) {
     apply_head(doc, item.version);
-  } else if (shard_number(key)) {
+  } else if (key == kFeaturesKey) {
+    apply_features(doc);
+  } else if (const auto job_shard = shard_number(key)) {
+    shard_bytes[*job_shard] = item.value.size();
     apply_jobs(doc, key);
   }
 }
 
-void Snapshot::apply_piece(const StateItem& item) {
+// What can't be read of it is taken for missing: then gangs wait until all controllers have been
+// heard again.
+void Snapshot::apply_features(const json::Document& doc) {
+  features = Features{};
+  json::get(doc, "gangs", features.gangs);
+}
+
+void Snapshot::apply_piece(const StateItem& item, std::string_view prefix, Pieces& target) {
   const std::string& key = item.key;
   const auto slash = key.rfind('/');
-  const std::string_view prefix = kBitmapPrefix;
   const std::string job = key.substr(prefix.size(), slash - prefix.size());
   const auto piece = number_after(key, key.substr(0, slash + 1));
   if (!piece) return;
   if (item.deleted) {
-    pieces.erase({job, *piece});
+    target.erase({job, *piece});
     return;
   }
   json::Document doc;
   std::string digits;
   if (json::parse_object(item.value, doc) && json::get(doc, "h", digits))
-    pieces[{job, *piece}] = digits;
+    target[{job, *piece}] = digits;
   else
     unreadable.insert(key);
 }
@@ -332,10 +363,13 @@
       continue;
     }
     const std::string id = record.spec.id;
-    if (shard)
-      shard_of[id] = *shard;
-    else
+    // Of several shards, the last one is the job's: see `JobShards`.
+    if (shard) {
+      const auto [location, fresh] = shard_of.try_emplace(id, *shard);
+      if (!fresh) location->second = std::max(location->second, *shard);
+    } else {
       in_head.push_back(id);
+    }
     // A job can be in its shard and, changed since, in the head: the later change counts.
     const auto it = jobs.find(id);
     if (it == jobs.end())
--- a/src/storage/checkpoint.hpp
+++ b/src/storage/checkpoint.hpp
@@ -5,6 +5,9 @@
 //   sr/head          the checkpoint's sequence, open rentals, and the jobs changed last
 //   sr/s/<shard>     jobs, some twenty active or some hundreds of finished ones to a shard
 //   sr/b/<job>/<n>   finished tasks of large arrays, a piece of the bitmap each
+//   sr/c/<job>/<n>   the same in smaller pieces, where the others are too large to be written;
+//                    versions before gangs don't read these
+//   sr/features      what every controller understands; versions before gangs ignore it
 //   sr/m/<shard>     machines that may hold tasks, and their addresses
 #pragma once
 
@@ -30,14 +33,24 @@
 inline constexpr const char* kShardPrefix = "sr/s/";
 inline constexpr const char* kMachinesPrefix = "sr/m/";
 inline constexpr const char* kBitmapPrefix = "sr/b/";
+inline constexpr const char* kSmallBitmapPrefix = "sr/c/";
+inline constexpr const char* kFeaturesKey = "sr/features";
 
 /// Share of a value's limit that is used, so that a miscounted byte is no refused write.
 inline constexpr double kValueFill = 0.85;
 
+/// Share of a value's limit that open rentals may take of the head.
+inline constexpr double kRentalFill = 0.4;
+/// A shard may grow to this share of a value's limit before its jobs go elsewhere.
+inline constexpr double kShardGrowthFill = 0.95;
+
 std::string shard_key(std::size_t shard);
 /// The shard that the key is of, if it is one's.
 std::optional<std::size_t> shard_number(std::string_view key);
 std::string bitmap_key(const std::string& job, std::size_t piece);
+std::string small_bitmap_key(const std::string& job, std::size_t piece);
+/// The value of a piece, whose digits are those of `Bitmap::hex`.
+std::string encode_piece(const std::string& digits);
 std::string machines_key(std::size_t shard);
 /// Machines are numbered by the cloud in order of creation, so neighbours share a shard.
 std::size_t machine_shard(std::string_view name);
@@ -72,8 +85,18 @@
 };
 
 /// A bitmap of at most so many tasks lies within the job's record; larger ones in pieces.
+inline constexpr std::size_t kBitsPerDigit = 4;
 inline constexpr std::size_t kInlineBits = 512;
 inline constexpr std::size_t kPieceBits = 8192;
+/// A small piece: four tasks a digit, so that it fits into the smallest value that settings allow.
+inline constexpr std::size_t kSmallPieceBits = 2048;
+
+/// What every controller understands, once that is so. It stays so: a process that is started again
+/// never runs an older version than before.
+struct Features {
+  bool gangs = false;
+};
+std::string encode_features(const Features& features);
 
 struct JobRecord {
   JobSpec spec;
@@ -114,6 +137,9 @@
   std::vector<CachedImage> images;  // most recently used first; a hint, not a promise
 };
 std::string encode_machines(const std::vector<MachineRecord>& machines);
+/// The same within `limit` bytes: only the machines have to be known, so the images that were used
+/// longest ago are left out where they don't fit.
+std::string encode_machines_within(std::vector<MachineRecord> machines, std::size_t limit);
 
 struct Head {
   std::uint64_t seq = 0, epoch = 0;
@@ -134,15 +160,21 @@
   std::unordered_map<std::string, JobRecord> jobs;
   /// Which shard a job lies in; jobs that are in the head alone are missing.
   std::unordered_map<std::string, std::size_t> shard_of;
+  /// How long the shards' values are.
+  std::map<std::size_t, std::size_t> shard_bytes;
   std::map<std::size_t, std::vector<MachineRecord>> machines;
   std::vector<std::string> in_head;
-  std::map<std::pair<std::string, std::size_t>, std::string> pieces;
+  Features features;
+  /// Digits of bitmaps, by job and number of the piece.
+  using Pieces = std::map<std::pair<std::string, std::size_t>, std::string>;
+  Pieces pieces, small_pieces;
   /// Keys of values that could not be understood, or not as a whole. What they held is unknown,
   /// not missing.
   std::set<std::string> unreadable;
 
  private:
-  void apply_piece(const StateItem& item);
+  void apply_piece(const StateItem& item, std::string_view prefix, Pieces& target);
+  void apply_features(const json::Document& doc);
   void apply_machines(const json::Document& doc, const std::string& key, std::size_t shard);
   void apply_head(const json::Document& doc, std::uint64_t version);
   void apply_jobs(const json::Document& doc, const std::string& key);
--- a/src/storage/job_shards.cpp
+++ b/src/storage/job_shards.cpp
@@ -1,10 +1,13 @@
 #include "storage/job_shards.hpp"
 
+#include <algorithm>
+
 namespace sailreel {
 
 void JobShards::clear() {
   shards_.clear();
   locations_.clear();
+  first_open_ = 0;
 }
 
 JobShards::Shard& JobShards::shard_at(std::size_t shard) {
@@ -12,7 +15,13 @@
   return shards_[shard];
 }
 
-void JobShards::close(std::size_t shard) { shard_at(shard).closed = true; }
+void JobShards::close(std::size_t shard) {
+  Shard& target = shard_at(shard);
+  for (const std::string& id : target.jobs) locations_.erase(id);
+  target = Shard{};
+  target.closed = true;
+  first_open_ = std::max(first_open_, shard + 1);
+}
 
 void JobShards::add(const std::string& id, std::size_t shard, std::size_t reserve) {
   Shard& target = shard_at(shard);
@@ -24,10 +33,8 @@
 
 std::size_t JobShards::place(const std::string& id, std::size_t reserve) {
   if (const auto it = locations_.find(id); it != locations_.end()) return it->second.shard;
-  std::size_t shard = 0;
-  while (shard < shards_.size() &&
-         (shards_[shard].closed || shards_[shard].reserved + reserve > limit_bytes_))
-    ++shard;
+  std::size_t shard = first_open_;
+  while (shard < shards_.size() && shards_[shard].reserved + reserve > limit_bytes_) ++shard;
   add(id, shard, reserve);
   return shard;
 }
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -242,7 +242,7 @@
     if (job.team != nullptr) job.team->used -= job.spec().need;
   }
   task.state = TaskState::Done;
-  if (job.spec().tasks > kInlineBits) job.dirty_pieces.insert(index / kPieceBits);
+  if (job.spec().tasks > kInlineBits) job.dirty_pieces.insert(index / kSmallPieceBits);
 }
 
 void Tables::unknown_to_queued(Job& job) {
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -43,7 +43,10 @@
   /// Its record as the checkpoint has it, and as the round in flight would leave it.
   std::string stored, round_text;
   std::optional<Phase> round_phase;  // as the round in flight has it, if that has a change of it
+  /// Small pieces of its bitmap that differ from the checkpoint's.
   std::set<std::size_t> dirty_pieces;
+  /// Which pieces may lie in the checkpoint: they are deleted once the job is over.
+  bool has_pieces = false, has_small_pieces = false;
   std::uint64_t order = 0;  // of acceptance
   TeamBook* team = nullptr;
   bool guaranteed = false;  // fits, with its team's earlier jobs, into the guarantee
--- a/src/storage/transaction_builder.hpp
+++ b/src/storage/transaction_builder.hpp
@@ -37,11 +37,16 @@
 
   /// The transaction, with the head as its first write.
   StateCall finish(std::vector<StateCall::Condition> conditions, StateCall::Put head) && {
+    puts_.insert(puts_.begin(), std::move(head));
+    return std::move(*this).finish(std::move(conditions));
+  }
+
+  /// The transaction without a head.
+  StateCall finish(std::vector<StateCall::Condition> conditions) && {
     StateCall call;
     call.kind = StateCall::Kind::Txn;
     call.conditions = std::move(conditions);
-    call.puts.push_back(std::move(head));
-    std::move(puts_.begin(), puts_.end(), std::back_inserter(call.puts));
+    call.puts = std::move(puts_);
     call.deletes = std::move(deletes_);
     return call;
   }
