Gangs: a state machine of their own, placed on one machine where one has room for all

Cause: what stood in the code placed a gang's tasks one by one with the next reports of their machines, and didn't know the states gathering, mates_gone and incomplete.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -73,6 +73,7 @@
     rebuild_tick();
     machine_tick();
     if (in_command(clock_.now)) {
+      review_gangs();
       if (placement_dirty_ && clock_.now >= next_placement_) place_all();
       fleet_tick();
       move_tick();
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "coordination/actions.hpp"
+#include "coordination/gang.hpp"
 #include "coordination/rate_limiter.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
@@ -256,14 +257,13 @@
   };
   void place_all();
   bool place_job(Job& job);
-  void stop_rest_of_gang(Job& job);
   bool due(Job& job, std::uint32_t index);
   std::optional<std::uint32_t> place_tasks(Job& job, bool one_by_one);
-  std::optional<std::uint32_t> place_gang(Job& job);
   bool warm_room_made(const Job& job, const Machine& m);
   void bind(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt);
   void unplace(Job& job);
-  void note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks);
+  void note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks,
+                  const std::string& zone);
   [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m, const char* aim) const;
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
@@ -309,9 +309,32 @@
   void queue_order(std::vector<Job*>& jobs) const;
   bool never_fits(const JobSpec& spec, std::string& why) const;
 
+  // gang_scheduling.cpp
+  /// A gang whose tasks have changed; it is looked at again with the next tick.
+  void review_gang(const Job& job);
+  void review_gangs();
+  Gang& gang_of(const Job& job);
+  [[nodiscard]] static bool is_gang(const Job& job) { return job.spec().kind == JobKind::Gang; }
+  [[nodiscard]] GangView gang_view(const Job& job) const;
+  [[nodiscard]] bool start_overdue(const Machine& m) const;
+  bool place_gang(Job& job);
+  bool gang_due(const Job& job);
+  bool place_gang_tasks(Job& job, std::uint64_t attempt);
+  [[nodiscard]] std::vector<Machine*> gang_machines(const Job& job) const;
+  [[nodiscard]] GangCandidate gang_candidate(const Job& job, const Machine& m) const;
+  [[nodiscard]] double report_due_s(const Machine& m) const;
+  [[nodiscard]] double fetch_s(const Job& job, const Machine& m) const;
+  [[nodiscard]] GangZones gang_zones(const Job& job) const;
+  void make_gang_room(Job& job, const GangPlan& plan, const std::vector<Machine*>& machines);
+  [[nodiscard]] std::string zone_to_rent_in(const Job& job, const std::string& best) const;
+  /// Stops a task and, if it is one of a gang, all the others of it.
+  void stop_with_gang(Placement& p, double grace_s);
+  void stop_gang(Job& job, double grace_s);
+
   // preemption.cpp
-  bool make_room(const Job& job, bool warm_only = false);
-  bool stop_for(const Job& job, bool warm_only);
+  /// Only on machines that hold the job's image, or of a zone, if so asked.
+  bool make_room(const Job& job, bool warm_only = false, const std::string& zone = {});
+  bool stop_for(const Job& job, bool warm_only, const std::string& zone);
   /// The tasks to be stopped on a machine, and what that loses.
   struct Eviction {
     std::vector<Placement*> victims;
@@ -356,9 +379,14 @@
   };
   struct FleetSupply {
     std::map<MachineKind, double> coming;
+    std::map<Market, double> coming_in_zone;
     std::map<MachineKind, std::map<std::string, int>> by_zone;
   };
-  using Demand = std::map<MachineKind, Resources>;
+  /// Room that is to be rented: in any zone, and for work that needs it in a certain one.
+  struct Demand {
+    std::map<MachineKind, Resources> anywhere;
+    std::map<Market, Resources> in_zone;
+  };
   /// The size of the ordinary machines that take work, and what work that needs them uses.
   struct OrdinaryRoom {
     Resources size, used;
@@ -373,6 +401,7 @@
   static void serve_from(Resources& freed, Unmet& unmet);
   void limit_to_allowance(const MachineType& type, Resources& allowance, Unmet& unmet);
   void add_headroom(const OrdinaryRoom& ordinary, Demand& demand) const;
+  void rent_in_zone(const Market& market, const Resources& total, FleetSupply& supply);
   void rent_missing(const MachineKind& kind, const Resources& total, FleetSupply& supply);
   void rent(const MachineKind& kind, const std::string& zone, std::uint32_t count);
   void send_rentals();
@@ -535,6 +564,9 @@
   std::unordered_map<std::string, Time> zone_unreachable_at_;
 
   // placement
+  std::unordered_map<std::string, Gang> gangs_;
+  std::set<std::string> gangs_to_review_;
+  const Machine* reporting_ = nullptr;  // whose report is being answered
   bool placement_dirty_ = false;
   Time next_placement_ = 0;
   std::vector<Unmet> unmet_;  // by kind, in the order of their first jobs
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -259,6 +259,8 @@
   reservations_.clear();
   machines_with_room_.clear();
   moves_.clear();
+  gangs_.clear();
+  gangs_to_review_.clear();
   stops_due_.clear();
   zone_reached_.clear();
   zone_unreachable_at_.clear();
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -22,6 +22,8 @@
 /// Where there was no capacity, it is asked for again after a list's lag and this at least.
 constexpr Time kLeastNoCapacity = 2'000;
 constexpr Time kRentalRetry = 1'000;
+/// So much of a machine is not worth another one.
+constexpr double kMachineSlack = 0.01;
 
 Resources scaled(const Resources& r, double share) {
   return {r.cpus * share, r.gpus * share, r.memory_gb * share};
@@ -145,7 +147,8 @@
   const OrdinaryRoom ordinary = ordinary_room();
   Demand demand = demand_of_waiting(ordinary, supply);
   add_headroom(ordinary, demand);
-  for (const auto& [kind, total] : demand) rent_missing(kind, total, supply);
+  for (const auto& [market, total] : demand.in_zone) rent_in_zone(market, total, supply);
+  for (const auto& [kind, total] : demand.anywhere) rent_missing(kind, total, supply);
 }
 
 // Machines up and still booting. Those that are late aren't counted on any more.
@@ -158,13 +161,18 @@
     const MachineKind kind{m->type, m->spot};
     ++supply.by_zone[kind][m->zone];
     if (!m->reported && !zone_unreachable(m->zone) &&
-        clock_.now - m->rented < ms(type->boot_s * kLateBoot))
+        clock_.now - m->rented < ms(type->boot_s * kLateBoot)) {
       supply.coming[kind] += 1;
+      supply.coming_in_zone[{kind, m->zone}] += 1;
+    }
   }
   for (const auto& [name, rental] : rentals_) {
     const RentalRequest& request = rental.request;
     const MachineKind kind{request.type, request.spot};
-    if (!zone_unreachable(request.zone)) supply.coming[kind] += request.count;
+    if (!zone_unreachable(request.zone)) {
+      supply.coming[kind] += request.count;
+      supply.coming_in_zone[{kind, request.zone}] += request.count;
+    }
     supply.by_zone[kind][request.zone] += static_cast<int>(request.count);
   }
   return supply;
@@ -232,19 +240,25 @@
 // For each kind of waiting work, room on the cheapest type that takes it.
 Core::Demand Core::demand_of_waiting(const OrdinaryRoom& ordinary, const FleetSupply& supply) {
   Demand demand;
+  const auto add = [&demand](const MachineKind& kind, const Unmet& unmet) {
+    if (unmet.want.zone.empty())
+      demand.anywhere[kind] += unmet.total;
+    else
+      demand.in_zone[{kind, unmet.want.zone}] += unmet.total;
+  };
   Resources freed = room_freed_by_arrays();
   Resources allowance = ordinary_allowance(ordinary, supply);
   ordinary_awaited_ = false;
   for (Unmet unmet : unmet_) {
     if (unmet.want.spot) serve_from(freed, unmet);
     if (const MachineType* type = unmet.want.spot ? cheapest_type(unmet.want, true) : nullptr) {
-      demand[{type->name, true}] += unmet.total;
+      add({type->name, true}, unmet);
       continue;
     }
     const MachineType* type = cheapest_type(unmet.want, false);
     if (type == nullptr) continue;
     if (unmet.want.spot && !unmet.guaranteed) limit_to_allowance(*type, allowance, unmet);
-    demand[{type->name, false}] += unmet.total;
+    add({type->name, false}, unmet);
   }
   return demand;
 }
@@ -285,21 +299,37 @@
   const MachineType* type = cheapest_type(Requirement{}, false);
   if (type == nullptr) return;
   // What waits has no room: beside it, all of the headroom is to be added.
-  Resources& wanted = demand[{type->name, false}];
+  Resources& wanted = demand.anywhere[{type->name, false}];
   const double share = 1 + options_.headroom_ratio;
   wanted.gpus = std::max(wanted.gpus, used.gpus * share - ordinary.size.gpus);
   wanted.cpus = std::max(wanted.cpus, used.cpus * share - ordinary.size.cpus);
 }
 
+// Rents what is missing in a zone. What comes there is for that work, and for none that could go
+// elsewhere. A job bound to one zone once had machines rented in all of them, again and again.
+void Core::rent_in_zone(const Market& market, const Resources& total, FleetSupply& supply) {
+  const MachineType* type = tables_.type(market.kind.type);
+  if (type == nullptr) return;
+  const double needed = std::ceil(machines_for(total, type->size) - kMachineSlack);
+  double& coming = supply.coming_in_zone[market];
+  if (needed > coming && may_rent(market.kind, market.zone)) {
+    const auto missing = static_cast<std::uint32_t>(needed - coming);
+    rent(market.kind, market.zone, missing);
+    supply.by_zone[market.kind][market.zone] += static_cast<int>(missing);
+    supply.coming[market.kind] += missing;
+    coming += missing;
+  }
+  supply.coming[market.kind] -= std::min(needed, coming);
+}
+
 // Rents what is missing, one by one in the zone that has the fewest, of those within reach if
 // possible.
 void Core::rent_missing(const MachineKind& kind, const Resources& total, FleetSupply& supply) {
   const MachineType* type = tables_.type(kind.type);
   if (type == nullptr) return;
-  constexpr double kSlack = 0.01;
   const double machines = machines_for(total, type->size);
   int missing =
-      static_cast<int>(std::ceil(machines - kSlack)) - static_cast<int>(supply.coming[kind]);
+      static_cast<int>(std::ceil(machines - kMachineSlack)) - static_cast<int>(supply.coming[kind]);
   std::map<std::string, std::uint32_t> split;
   auto& have = supply.by_zone[kind];
   for (; missing > 0; --missing) {
@@ -395,7 +425,7 @@
   drop_unsent(m);
   if (m.drain_cause == "faulty")
     for (Placement& p : m.placements)
-      if (p.held && p.job != nullptr) stop_task(p, grace_for(*p.job));
+      if (p.held && p.job != nullptr) stop_with_gang(p, grace_for(*p.job));
 }
 
 void Core::release(Machine& m, const char* why) {
@@ -503,8 +533,8 @@
     for (const Placement& p : m->placements) {
       if (!p.held) continue;
       ++tasks;
-      // An array's task is waited for.
-      if (p.job != nullptr && p.job->spec().kind == JobKind::Array) continue;
+      // A task of an array or a gang is waited for.
+      if (p.job != nullptr && p.job->spec().kind != JobKind::Service) continue;
       moved += p.need;
       possible = possible && movable(p);
     }
--- /dev/null
+++ b/src/coordination/gang_scheduling.cpp
@@ -0,0 +1,257 @@
+// Gangs on machines: what the state machine of each gang is told, and how its decisions are carried
+// out.
+#include <cmath>
+
+#include "coordination/core.hpp"
+
+namespace sailreel {
+namespace {
+
+/// Reports come an interval apart, give or take this share of it (protocol, "Workers").
+constexpr double kReportJitter = 0.25;
+/// A machine that has reported for so many intervals not is no place to wait for.
+constexpr double kOverdueReports = 1.5;
+/// In seconds: what a machine costs where it is no equal choice otherwise.
+constexpr double kFailedThere = 60, kOrdinaryForSpot = 2, kStrandedGpu = 0.1;
+
+std::uint32_t slots_in(const Resources& room, const Resources& each, std::uint32_t most) {
+  constexpr double kSlack = 1e-6;
+  double slots = most;
+  if (each.cpus > 0) slots = std::min(slots, (room.cpus + kSlack) / each.cpus);
+  if (each.gpus > 0) slots = std::min(slots, (room.gpus + kSlack) / each.gpus);
+  if (each.memory_gb > 0) slots = std::min(slots, (room.memory_gb + kSlack) / each.memory_gb);
+  return static_cast<std::uint32_t>(std::floor(std::max(0.0, slots)));
+}
+
+}  // namespace
+
+void Core::review_gang(const Job& job) {
+  if (is_gang(job)) gangs_to_review_.insert(job.spec().id);
+}
+
+Gang& Core::gang_of(const Job& job) {
+  return gangs_.try_emplace(job.spec().id, ms(settings_.workers.gang_wait_s)).first->second;
+}
+
+GangView Core::gang_view(const Job& job) const {
+  GangView view;
+  view.tasks = job.spec().tasks;
+  view.unknown = job.unknown;
+  std::optional<std::uint64_t> attempt;
+  for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+    const Machine* m = job.tasks[i].machine;
+    if (m == nullptr) continue;
+    for (const Placement& p : m->placements) {
+      if (p.job != &job || p.key.index != i || !p.held) continue;
+      ++view.placed;
+      view.unsent += p.state == PlaceState::Reserved ? 1 : 0;
+      view.running += p.state == PlaceState::Running || p.state == PlaceState::Saving ? 1 : 0;
+      view.stopping += p.stop ? 1 : 0;
+      view.one_attempt = view.one_attempt && attempt.value_or(p.attempt) == p.attempt;
+      view.overdue = view.overdue || (p.state == PlaceState::Reserved && start_overdue(*m));
+      attempt = p.attempt;
+    }
+  }
+  return view;
+}
+
+bool Core::start_overdue(const Machine& m) const {
+  const auto most = static_cast<Time>(static_cast<double>(report_interval()) * kOverdueReports);
+  return clock_.now - m.last_own_report > most;
+}
+
+// Gangs are looked at when something of theirs has changed, and as long as a start has not left.
+void Core::review_gangs() {
+  std::set<std::string> waiting;
+  for (const std::string& id : std::exchange(gangs_to_review_, {})) {
+    Job* job = tables_.job(id);
+    if (job == nullptr || !job->active()) continue;
+    const GangView view = gang_view(*job);
+    switch (gang_of(*job).decide(view, clock_.now)) {
+      case GangDecision::Wait:
+        break;
+      case GangDecision::StopRest:
+        stop_gang(*job, 0);
+        break;
+      case GangDecision::Unplace:
+      case GangDecision::PlaceAll:
+      case GangDecision::PlaceMissing:
+        placement_dirty_ = true;
+        break;
+    }
+    if (view.unsent > 0) waiting.insert(id);
+  }
+  gangs_to_review_.merge(waiting);
+}
+
+// True if it needs no more room.
+bool Core::place_gang(Job& job) {
+  GangDecision decision = gang_of(job).decide(gang_view(job), clock_.now);
+  if (decision == GangDecision::Unplace) {
+    unplace(job);
+    decision = GangDecision::PlaceAll;
+  }
+  switch (decision) {
+    case GangDecision::StopRest:
+      stop_gang(job, 0);
+      return true;
+    case GangDecision::PlaceAll:
+      return gang_due(job) && place_gang_tasks(job, attempt_number());
+    case GangDecision::PlaceMissing: {
+      const auto placed = std::find_if(job.tasks.begin(), job.tasks.end(),
+                                       [](const Task& t) { return t.machine != nullptr; });
+      const auto index = static_cast<std::uint32_t>(placed - job.tasks.begin());
+      for (const Placement& p : placed->machine->placements)
+        if (p.job == &job && p.key.index == index && p.held)
+          return gang_due(job) && place_gang_tasks(job, p.attempt);
+      return true;
+    }
+    default:
+      return true;
+  }
+}
+
+// Whether all tasks that are to be placed may be tried again.
+bool Core::gang_due(const Job& job) {
+  const bool due = std::none_of(job.tasks.begin(), job.tasks.end(), [this](const Task& task) {
+    return task.state == TaskState::Queued && task.not_before > clock_.now;
+  });
+  placement_dirty_ = placement_dirty_ || !due;
+  return due;
+}
+
+// Places all tasks that are missing, or none.
+bool Core::place_gang_tasks(Job& job, std::uint64_t attempt) {
+  const std::uint32_t wanted = job.queued;
+  if (job.team == nullptr || !job.team->allows(job.spec().need.times(wanted))) return true;
+  const std::vector<Machine*> machines = gang_machines(job);
+  std::vector<GangCandidate> candidates;
+  candidates.reserve(machines.size());
+  for (const Machine* m : machines) candidates.push_back(gang_candidate(job, *m));
+  const GangPlan plan = plan_gang(candidates, wanted, gang_zones(job));
+  if (plan.missing > 0) {
+    make_gang_room(job, plan, machines);
+    return false;
+  }
+  std::uint32_t index = 0;
+  for (std::size_t i = 0; i < machines.size(); ++i)
+    for (std::uint32_t n = 0; n < plan.tasks[i]; ++n) {
+      while (job.tasks[index].state != TaskState::Queued) ++index;
+      bind(job, index, *machines[i], attempt);
+    }
+  review_gang(job);
+  return true;
+}
+
+std::vector<Machine*> Core::gang_machines(const Job& job) const {
+  std::vector<Machine*> machines;
+  for (Machine* m : machines_with_room_)
+    if (open(*m) && tables_.allowed(job, *m) &&
+        job.spec().need.fits_in(room_beside(reservations_, *m)))
+      machines.push_back(m);
+  return machines;
+}
+
+// A machine that would keep GPUs without the CPUs or the memory to use them is the worse choice.
+GangCandidate Core::gang_candidate(const Job& job, const Machine& m) const {
+  const JobSpec& spec = job.spec();
+  const Resources room = room_beside(reservations_, m);
+  GangCandidate candidate{m.zone, slots_in(room, spec.need, job.queued), 0};
+  candidate.delay_s = report_due_s(m) + fetch_s(job, m);
+  if (job.error_machines.contains(m.name)) candidate.delay_s += kFailedThere;
+  if (spec.spot && !m.spot) candidate.delay_s += kOrdinaryForSpot;
+  if (m.size.cpus > 0 && spec.need.gpus <= 0) {
+    const double cpus_left = room.cpus - spec.need.cpus * candidate.slots;
+    const double usable_gpus = cpus_left * m.size.gpus / m.size.cpus;
+    candidate.delay_s += kStrandedGpu * std::max(0.0, room.gpus - usable_gpus);
+  }
+  return candidate;
+}
+
+// Starts go with the answer to a report. How long that of a machine is to be waited for.
+double Core::report_due_s(const Machine& m) const {
+  if (&m == reporting_) return 0;
+  const double interval = settings_.workers.report_s;
+  const double age = static_cast<double>(clock_.now - m.last_own_report) / 1000.0;
+  if (age < interval * (1 - kReportJitter)) return interval - age;
+  if (age < interval * (1 + kReportJitter)) return (interval * (1 + kReportJitter) - age) / 2;
+  return 2 * interval;
+}
+
+double Core::fetch_s(const Job& job, const Machine& m) const {
+  const JobSpec& spec = job.spec();
+  const MachineType* type = tables_.type(m.type);
+  if (m.has_image(spec.image) || type == nullptr || type->fetch_gb_per_s <= 0) return 0;
+  const double alone = spec.image_gb / type->fetch_gb_per_s;
+  if (m.fetching(spec.image)) return alone / 2;
+  return alone * static_cast<double>(1 + m.fetches());
+}
+
+GangZones Core::gang_zones(const Job& job) const {
+  GangZones zones;
+  zones.one_zone = job.spec().one_zone;
+  if (!job.spec().spread) return zones;
+  for (const std::string& zone : settings_.zones) {
+    const auto it = job.per_zone.find(zone);
+    const std::uint32_t there = it == job.per_zone.end() ? 0 : it->second;
+    zones.room[zone] = job.zone_cap() - std::min(job.zone_cap(), there);
+  }
+  return zones;
+}
+
+// The gang doesn't fit. Room is rented and others are stopped only for what is missing, in the zone
+// where that is least if all have to be in one; and the room that it has found is kept from what
+// comes after it in this pass, once it has waited for longer than a worker's lease or something has
+// been stopped for it. So it can't starve behind single tasks. As nothing of it holds room until
+// all of it does, two gangs never wait for each other.
+void Core::make_gang_room(Job& job, const GangPlan& plan, const std::vector<Machine*>& machines) {
+  const std::string zone = plan.zone.empty() ? job.spec().zone : plan.zone;
+  note_unmet(job, *job.team, plan.missing, zone_to_rent_in(job, zone));
+  std::uint32_t made = 0;
+  if (job.placed > 0) return;
+  // Reserved first, so that what is stopped is stopped for the rest.
+  std::vector<std::pair<Machine*, Resources>> kept;
+  for (std::size_t i = 0; i < machines.size(); ++i)
+    if (plan.tasks[i] > 0) {
+      kept.emplace_back(machines[i], job.spec().need.times(plan.tasks[i]));
+      reservations_[machines[i]] += kept.back().second;
+    }
+  while (made < plan.missing && make_room(job, false, zone)) ++made;
+  if (made > 0 || clock_.now - job.accepted > worker_lease()) return;
+  for (const auto& [m, room] : kept) reservations_[m] -= room;
+}
+
+// The zone with most room for it, unless none of its machines can be rented there now.
+std::string Core::zone_to_rent_in(const Job& job, const std::string& best) const {
+  if (!job.spec().one_zone || !job.spec().zone.empty()) return best;
+  Requirement want = requirement_of(job.spec());
+  const auto can_rent = [&](const std::string& zone) {
+    want.zone = zone;
+    return cheapest_type(want, false) != nullptr ||
+           (want.spot && cheapest_type(want, true) != nullptr);
+  };
+  if (!best.empty() && can_rent(best)) return best;
+  for (const std::string& zone : settings_.zones)
+    if (can_rent(zone)) return zone;
+  return best;
+}
+
+void Core::stop_with_gang(Placement& p, double grace_s) {
+  if (p.job != nullptr && is_gang(*p.job))
+    stop_gang(*p.job, grace_s);
+  else
+    stop_task(p, grace_s);
+}
+
+// One decision for all tasks: the stops leave in the same step, straight to the machines, and are
+// repeated with the answers to reports until they are confirmed.
+void Core::stop_gang(Job& job, double grace_s) {
+  for (const Task& task : job.tasks) {
+    if (task.machine == nullptr) continue;
+    for (Placement& p : task.machine->placements)
+      if (p.job == &job && p.held && !p.stop) stop_task(p, grace_s);
+  }
+  review_gang(job);
+}
+
+}  // namespace sailreel
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -25,8 +25,14 @@
   const int sibling = leader_sibling();
   // A request is handed on once only: two nodes that take each other for the leader must not play
   // ball with it.
-  if (sibling >= 0 && r.origin.kind == Origin::Kind::Local && forwarded_.size() < kMaxForwarded)
+  if (sibling >= 0 && r.origin.kind == Origin::Kind::Local && forwarded_.size() < kMaxForwarded) {
+    // An older version would place a gang in its own way.
+    if (r.op == UserOp::Submit &&
+        !sibling_views_[static_cast<std::size_t>(sibling)].understands_gangs &&
+        is_gang_submission(r.body))
+      return refuse(r.origin, "gangs wait until all controllers are of this version");
     return forward(r.origin, r.op, r.id, r.body, static_cast<std::size_t>(sibling));
+  }
   if (r.op == UserOp::Query && r.origin.kind == Origin::Kind::Local) return look_up(r.origin, r.id);
   refuse(r.origin, "no leader");
 }
@@ -62,11 +68,17 @@
   if (!spec) return answer(r.origin, 400, encode_error("invalid: " + error));
   if (tables_.types.empty()) return refuse(r.origin, "machine types not known yet");
   if (never_fits(*spec, error)) return answer(r.origin, 422, encode_error(error));
+  if (spec->kind == JobKind::Gang && !gangs_enabled_)
+    return refuse(r.origin, "gangs wait until all controllers are of this version");
   if (round_.retries > 0) return refuse(r.origin, "the state service does not answer");
   if (too_many_waiting()) return refuse(r.origin, "too many submissions at once");
   JobRecord record;
   record.spec = std::move(*spec);
   record.submitted_wall_ms = clock_.wall_ms;
+  // One round less before its start: a gang's aim is a matter of seconds.
+  if (record.spec.kind == JobKind::Gang) record.started = record.spec.tasks;
+  if (head_bytes_of({{record.spec.id, encode_record(record)}}) > value_limit(kValueFill))
+    return answer(r.origin, 422, encode_error("its description is too large to be kept"));
   Job& job = tables_.add_job(std::move(record));
   job.accepted = clock_.now;
   touch(job);
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -161,30 +161,19 @@
 }
 
 bool Core::place_job(Job& job) {
-  const bool gang = job.spec().kind == JobKind::Gang;
-  if (gang && job.placed + job.unknown > 0) {
-    if (job.placed > 0 && job.unknown == 0) stop_rest_of_gang(job);
-    return false;
-  }
+  if (is_gang(job)) return place_gang(job);
   // Of a job that is likely to be a mistake, one task at a time shows whether it still fails.
-  const bool one_by_one = job.suspect() && !gang;
+  const bool one_by_one = job.suspect();
   if (one_by_one && job.placed > 0) return true;
-  const std::optional<std::uint32_t> left = gang ? place_gang(job) : place_tasks(job, one_by_one);
+  const std::optional<std::uint32_t> left = place_tasks(job, one_by_one);
   if (!left) return false;
   if (*left == 0) return true;
-  note_unmet(job, *job.team, *left);
+  note_unmet(job, *job.team, *left, job.spec().zone);
   for (std::uint32_t i = 0; i < *left && make_room(job); ++i) {
   }
   return false;
 }
 
-// A gang that has lost a task is no use: the rest gives way, and it starts again as a whole.
-void Core::stop_rest_of_gang(Job& job) {
-  for (auto& [name, m] : tables_.machines)
-    for (Placement& p : m->placements)
-      if (p.job == &job && p.held && !p.stop) stop_task(p, grace_for(job));
-}
-
 // True if the task is to be placed by this pass.
 bool Core::due(Job& job, std::uint32_t index) {
   const Task& task = job.tasks[index];
@@ -225,28 +214,6 @@
   return 0;
 }
 
-// The same of a gang, which starts as a whole or not at all.
-std::optional<std::uint32_t> Core::place_gang(Job& job) {
-  MachineRanking choice(*this, job, true);
-  // Its tasks find each other by their attempt, which they share.
-  const std::uint64_t attempt = attempt_number();
-  for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
-    if (!due(job, i)) continue;
-    if (job.team == nullptr || !job.team->allows(job.spec().need)) {
-      unplace(job);
-      return {};
-    }
-    Machine* m = moved_to(job, i);
-    if (m == nullptr) m = choice.best();
-    if (m == nullptr) {
-      unplace(job);
-      return job.queued;
-    }
-    bind(job, i, *m, attempt);
-  }
-  return 0;
-}
-
 // Where a fetch would break an aim, room is made on a machine that holds the image, if possible.
 bool Core::warm_room_made(const Job& job, const Machine& m) {
   const bool late = late_if_cold(job, m, "wait");
@@ -266,7 +233,8 @@
 // Adds to what more machines could serve: what the team's limit allows beyond what it has and what
 // of its is counted already. Jobs of one kind are counted together: a list that was cut off after
 // so many jobs once hid most of a cold start from the sizing of the fleet.
-void Core::note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks) {
+void Core::note_unmet(const Job& job, const TeamBook& team, std::uint32_t tasks,
+                      const std::string& zone) {
   const JobSpec& s = job.spec();
   Resources& counted = unmet_of_team_[&team];
   std::uint32_t wanted = tasks;
@@ -278,6 +246,7 @@
   const Resources total{s.need.cpus * wanted, s.need.gpus * wanted, s.need.memory_gb * wanted};
   counted += total;
   Requirement want = requirement_of(s);
+  want.zone = zone;
   auto it = std::find_if(unmet_.begin(), unmet_.end(), [&](const Unmet& u) {
     return u.guaranteed == job.guaranteed && u.want == want;
   });
@@ -299,7 +268,7 @@
   return false;
 }
 
-// Takes back what the present pass has placed of a gang that doesn't fit as a whole.
+// Takes back what was placed of a job and not sent yet.
 void Core::unplace(Job& job) {
   for (auto& [name, m] : tables_.machines)
     for (std::size_t i = m->placements.size(); i-- > 0;) {
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -78,7 +78,7 @@
 }
 
 // Promises room for one more task of the job on some machine, stopping others there if need be.
-bool Core::make_room(const Job& job, bool warm_only) {
+bool Core::make_room(const Job& job, bool warm_only, const std::string& zone) {
   const JobSpec& s = job.spec();
   const Requirement want = requirement_of(s);
   // What was in vain for work of the same team and priority, which needs no more, is so again.
@@ -86,19 +86,20 @@
     if (i.priority == s.priority && i.team == job.team && i.guaranteed == job.guaranteed &&
         want.as_much_as(i.want))
       return false;
-  if (stop_for(job, warm_only)) return true;
+  if (stop_for(job, warm_only, zone)) return true;
   // A job that minds the zones of its own tasks says nothing of others.
   if (!warm_only && !s.spread && !s.one_zone)
     no_eviction_for_.push_back({want, s.priority, job.team, job.guaranteed});
   return false;
 }
 
-bool Core::stop_for(const Job& job, bool warm_only) {
+bool Core::stop_for(const Job& job, bool warm_only, const std::string& zone) {
   Machine* best = nullptr;
   Eviction best_eviction;
   for (auto& [name, m] : tables_.machines) {
     ++examined_;
     if (!open(*m) || !tables_.allowed(job, *m)) continue;
+    if (!zone.empty() && m->zone != zone) continue;
     if (warm_only && !m->has_image(job.spec().image)) continue;
     std::optional<Eviction> eviction = eviction_on(*m, job);
     if (!eviction || (best != nullptr && eviction->cost >= best_eviction.cost)) continue;
@@ -110,7 +111,7 @@
   for (Placement* p : best_eviction.victims) {
     log(Log::Level::Info, "event=preempt machine=", best->name, " task=", p->key.job, "/",
         p->key.index, " for=", job.spec().id);
-    stop_task(*p, grace_for(*p->job));
+    stop_with_gang(*p, grace_for(*p->job));
   }
   return true;
 }
@@ -132,11 +133,15 @@
     }
   if (!spec.need.fits_in(most)) return {};
   std::sort(candidates.begin(), candidates.end(), stopped_before);
+  std::set<const Job*> gangs;
   for (Placement* p : candidates) {
-    if (spec.need.fits_in(room)) break;
+    const bool stopped_already = gangs.contains(p->job);
+    if (spec.need.fits_in(room) && !stopped_already) break;
     room += p->need;
+    if (stopped_already) continue;
     eviction.victims.push_back(p);
     eviction.cost += stop_cost(*p);
+    if (is_gang(*p->job)) gangs.insert(p->job);
   }
   if (!spec.need.fits_in(room)) return {};
   return eviction;
@@ -153,14 +158,16 @@
   return array ? a->running_since > b->running_since : a->running_since < b->running_since;
 }
 
-// A replica costs its service a moment; an array's task loses what it hasn't saved.
+// A replica costs its service a moment; an array's task loses what it hasn't saved. A gang is
+// stopped as a whole.
 double Core::stop_cost(const Placement& p) const {
   constexpr double kReplica = 2, kSaved = 2, kUnsaved = 1, kAllWorkLost = 3;
   const JobSpec& spec = p.job->spec();
-  if (spec.kind == JobKind::Service || p.state != PlaceState::Running) return kReplica;
-  if (spec.checkpoint_s > 0) return kSaved;
+  const double tasks = is_gang(*p.job) ? static_cast<double>(p.job->placed) : 1;
+  if (spec.kind == JobKind::Service || p.state != PlaceState::Running) return kReplica * tasks;
+  if (spec.checkpoint_s > 0) return kSaved * tasks;
   const double ran_s = static_cast<double>(clock_.now - p.running_since) / 1000.0;
-  return kUnsaved + kAllWorkLost * std::min(1.0, ran_s / std::max(1.0, spec.estimate_s));
+  return tasks * (kUnsaved + kAllWorkLost * std::min(1.0, ran_s / std::max(1.0, spec.estimate_s)));
 }
 
 // A replica that can be stopped here to run elsewhere.
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -168,6 +168,7 @@
   rebuilding_ = false;
   for (auto& [id, job] : tables_.jobs) {
     tables_.unknown_to_queued(*job);
+    review_gang(*job);
     settle_job(*job);
   }
   placement_dirty_ = true;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -59,7 +59,10 @@
   if (!take_report(r, false)) return answer(in.origin, 503, encode_error("late report"));
   m = tables_.machine(r.machine);
   m->last_own_report = now;
+  reporting_ = m;
+  review_gangs();
   if (placement_dirty_ && now >= next_placement_) place_all();
+  reporting_ = nullptr;
   m->answered = now;
   const auto commands = commands_for(*m, r.seq);
   answer(in.origin, 200, encode_report_answer(epoch_, commands), 0, command_until());
@@ -168,14 +171,16 @@
   drain(m, "notice");
   for (Placement& p : m.placements)
     if (p.held && p.job != nullptr && p.job->spec().checkpoint_s > 0)
-      stop_task(p, grace_for(*p.job));
+      stop_with_gang(p, grace_for(*p.job));
 }
 
 // Forgets what was placed there; the job may be over with that.
 void Core::drop(Machine& m, std::size_t index) {
   Job* job = m.placements[index].job;
   tables_.erase(m, index);
-  if (job != nullptr) settle_job(*job);
+  if (job == nullptr) return;
+  review_gang(*job);
+  settle_job(*job);
 }
 
 // What hasn't been sent there yet can go elsewhere at once.
@@ -212,6 +217,8 @@
   switch (t.state) {
     case RunState::Fetching:
       return task_state(m, *p, PlaceState::Fetching);
+    case RunState::Waiting:
+      return task_state(m, *p, PlaceState::Waiting);
     case RunState::Running:
       return task_state(m, *p, PlaceState::Running);
     case RunState::Saving:
@@ -236,6 +243,7 @@
   // It was there before we knew of it: that its start was carried out needs no proof.
   p.state = PlaceState::Sent;
   if (job != nullptr && on_machine && !job->active()) stop_task(p, 0);
+  if (job != nullptr) review_gang(*job);
   return p;
 }
 
@@ -274,7 +282,9 @@
   const bool ran = runs(p.state);
   p.state = state;
   p.since = clock_.now;
+  if (state == PlaceState::Waiting && p.job != nullptr) note_image(m, p.job->spec());
   if (runs(state) == ran) return;
+  if (p.job != nullptr) review_gang(*p.job);
   if (p.job != nullptr && p.held) p.job->running += ran ? -1 : 1;
   if (ran) return;
   p.running_since = clock_.now;
@@ -292,6 +302,8 @@
 
 void Core::note_finished(Job& job, std::uint32_t index, const Machine& m) {
   tables_.mark_done(job, index);
+  // The tasks of a gang complete together: one that is done says it of all.
+  for (std::uint32_t i = 0; is_gang(job) && i < job.spec().tasks; ++i) tables_.mark_done(job, i);
   if (job.active() && job.record.done.count() == job.spec().tasks) job.record.phase = Phase::Done;
   touch(job);
   finished_next_.push_back({job.spec().id, index, m.name});
@@ -314,12 +326,16 @@
     p.settled = true;
     return;
   }
+  review_gang(*job);
   Task& task = job->tasks[p.key.index];
+  // What ended for another reason in a gang that is done is over as well.
+  const bool gang_done = is_gang(*job) && task.state == TaskState::Done;
+  if (is_gang(*job) && was_held && p.cause != ExitCause::Done) gang_of(*job).attempt_over();
   if (p.cause == ExitCause::Done && job->spec().kind != JobKind::Service) {
     job->proven = true;
-    if (task.state == TaskState::Done && !was_held) {
+    if (task.state == TaskState::Done && (!was_held || gang_done)) {
       // Known already: either committed, or in a round to come that settles it.
-      p.settled = job->record.done.test(p.key.index) && !job->dirty;
+      p.settled = job->record.done.test(p.key.index) && !job->dirty && !job->round_phase;
       if (!p.settled) finished_next_.push_back({job->spec().id, p.key.index, m.name});
     } else {
       note_finished(*job, p.key.index, m);
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -525,6 +525,7 @@
   for (auto& [name, m] : tables_.machines)
     for (Placement& p : m->placements)
       if (p.job == &job) p.job = nullptr;
+  gangs_.erase(id);
   tables_.finished[id] = {job.record.phase, job.spec().tasks, job.record.seq};
   std::erase(dirty_jobs_, &job);
   tables_.remove_job(id);
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -33,6 +33,9 @@
     cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
     return *this;
   }
+  [[nodiscard]] Resources times(double count) const {
+    return {cpus * count, gpus * count, memory_gb * count};
+  }
   /// Sums of decimals carry rounding errors; a millionth of a core is nobody's loss.
   [[nodiscard]] bool fits_in(const Resources& room) const {
     constexpr double kSlack = 1e-6;
@@ -65,8 +68,21 @@
   return key.job + "/" + std::to_string(key.index);
 }
 
-enum class RunState : std::uint8_t { Fetching, Running, Saving, Exited };
-enum class ExitCause : std::uint8_t { None, Done, Stopped, Error, NoRoom, Busy, Unknown };
+/// Waiting: a task of a gang that waits for the others of its attempt.
+enum class RunState : std::uint8_t { Fetching, Running, Saving, Exited, Waiting };
+/// Of a task of a gang: PeersGone, another task of the gang is gone; Incomplete, the gang was not
+/// complete in time.
+enum class ExitCause : std::uint8_t {
+  None,
+  Done,
+  Stopped,
+  Error,
+  NoRoom,
+  Busy,
+  Unknown,
+  PeersGone,
+  Incomplete
+};
 
 struct ReportedTask {
   TaskKey key;
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -116,6 +116,11 @@
   return s;
 }
 
+bool is_gang_submission(std::string_view body) {
+  json::Document doc;
+  return json::parse_object(body, doc) && decode_kind(doc) == JobKind::Gang;
+}
+
 std::string encode_job(const JobView& view) {
   rapidjson::StringBuffer b;
   json::Writer w(b);
--- a/src/protocol/user_codec.hpp
+++ b/src/protocol/user_codec.hpp
@@ -23,6 +23,9 @@
   Phase phase = Phase::Active;
   std::uint64_t done = 0, running = 0;
 };
+/// True if the body can be read and is that of a gang, whatever else is in it.
+bool is_gang_submission(std::string_view body);
+
 std::string encode_job(const JobView& view);
 std::string encode_error(std::string_view text);
 
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -64,6 +64,8 @@
       return {};
     if (state == "running") {
       t.state = RunState::Running;
+    } else if (state == "gathering") {
+      t.state = RunState::Waiting;
     } else if (state == "flushing") {
       t.state = RunState::Saving;
     } else if (state == "ended") {
@@ -75,6 +77,8 @@
         if (cause == "no_room") t.cause = ExitCause::NoRoom;
         if (cause == "busy") t.cause = ExitCause::Busy;
         if (cause == "unknown") t.cause = ExitCause::Unknown;
+        if (cause == "mates_gone") t.cause = ExitCause::PeersGone;
+        if (cause == "incomplete") t.cause = ExitCause::Incomplete;
       }
       json::get(item, "kept", t.saved);
     }
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -83,7 +83,8 @@
   std::uint64_t seq = 0;
 };
 
-enum class PlaceState : std::uint8_t { Reserved, Sent, Fetching, Running, Saving, Exited };
+/// In the order of a task's life. Waiting: for the other tasks of its gang.
+enum class PlaceState : std::uint8_t { Reserved, Sent, Fetching, Waiting, Running, Saving, Exited };
 
 /// One attempt of a task on a machine.
 struct Placement {
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -25,6 +25,8 @@
   s.workers.report_s = 1;
   s.workers.lease_s = 10;
   s.workers.cancel_s = 30;
+  s.workers.gang_wait_s = 20;
+  s.workers.gang_peer_s = 2;
   s.store.rps = 200;
   s.store.write_rps = 30;
   s.store.value_kb = 8;
