--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -307,6 +307,7 @@
   using Queues = std::array<std::vector<Job*>, kPriorities>;
   [[nodiscard]] Queues note_guarantees();
   void queue_order(std::vector<Job*>& jobs) const;
+  [[nodiscard]] bool never_all_at_once(const JobSpec& spec) const;
   bool never_fits(const JobSpec& spec, std::string& why) const;
 
   // gang_scheduling.cpp
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -35,6 +35,12 @@
   no_eviction_for_.clear();
 }
 
+// A gang of which no zone may hold more than half needs two zones.
+bool Core::never_all_at_once(const JobSpec& s) const {
+  if (s.kind != JobKind::Gang || !s.spread || s.tasks < 2) return false;
+  return s.one_zone || !s.zone.empty() || settings_.zones.size() < 2;
+}
+
 bool Core::never_fits(const JobSpec& s, std::string& why) const {
   const TeamBook* team = nullptr;
   for (const TeamBook& t : tables_.teams)
@@ -50,6 +56,10 @@
     why = "more than the team's limit";
     return true;
   }
+  if (never_all_at_once(s)) {
+    why = "its tasks can't run at the same time in the zones that it allows";
+    return true;
+  }
   for (const MachineType& t : tables_.types) {
     if (!tables_.type_allowed(s, t.name) || !s.need.fits_in(t.size)) continue;
     if (s.zone.empty() || t.zones.empty() ||
--- a/tests/day_test.cpp
+++ b/tests/day_test.cpp
@@ -33,6 +33,22 @@
 INSTANTIATE_TEST_SUITE_P(Seeds, SeededDay, ::testing::Range<std::uint64_t>(1, 81),
                          ::testing::PrintToStringParamName());
 
+// The same with a third of gangs: their workers wait, start and stop together.
+class GangDay : public ::testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(GangDay, KeepsTheRules) {
+  DayPlan plan;
+  plan.seed = GetParam() * 7 + 1;
+  plan.gangs = true;
+  plan.fault_pairs = GetParam() % 2 == 0;
+  plan.length = 300'000;
+  World world(plan);
+  expect_kept(world, plan);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, GangDay, ::testing::Range<std::uint64_t>(1, 61),
+                         ::testing::PrintToStringParamName());
+
 // Some 200 machines and hundreds of jobs, under crashes, cuts and waves.
 class LargeDay : public ::testing::TestWithParam<std::uint64_t> {};
 
--- /dev/null
+++ b/tests/gang_test.cpp
@@ -0,0 +1,400 @@
+// Gangs: the state machine and the distribution of tasks by themselves, and scenes of the simulated
+// world in which a gang is lost, stopped, taken over or cancelled in each of its phases.
+#include "coordination/gang.hpp"
+
+#include <gtest/gtest.h>
+
+#include "sim/scenarios.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+constexpr Time kWait = 20'000;
+
+GangView whole(std::uint32_t tasks) {
+  GangView view;
+  view.tasks = view.placed = tasks;
+  return view;
+}
+
+TEST(GangStates, IsPlacedGathersAndRuns) {
+  Gang gang(kWait);
+  GangView view;
+  view.tasks = 4;
+  EXPECT_EQ(gang.decide(view, 0), GangDecision::PlaceAll);
+  EXPECT_EQ(gang.phase(), GangPhase::Placing);
+  EXPECT_EQ(gang.decide(whole(4), 10), GangDecision::Wait);
+  EXPECT_EQ(gang.phase(), GangPhase::Gathering);
+  view = whole(4);
+  view.running = 1;  // the other reports come later
+  EXPECT_EQ(gang.decide(view, 20), GangDecision::Wait);
+  EXPECT_EQ(gang.phase(), GangPhase::Running);
+}
+
+TEST(GangStates, NothingIsPlacedWhileTasksMayBeAnywhere) {
+  Gang gang(kWait);
+  GangView view;
+  view.tasks = 4;
+  view.unknown = 1;
+  EXPECT_EQ(gang.decide(view, 0), GangDecision::Wait);
+}
+
+TEST(GangStates, ALostTaskIsReplacedOnlyWhileTheOthersWaitLongEnough) {
+  Gang gang(kWait);
+  gang.decide(whole(4), 0);
+  GangView view = whole(4);
+  view.placed = 3;
+  EXPECT_EQ(gang.decide(view, kWait / 2 - 1), GangDecision::PlaceMissing);
+  EXPECT_EQ(gang.decide(view, kWait / 2), GangDecision::StopRest);
+  EXPECT_EQ(gang.phase(), GangPhase::Stopping);
+}
+
+TEST(GangStates, ATaskLostWhileRunningEndsAllAndAllAreAwaited) {
+  Gang gang(kWait);
+  GangView view = whole(4);
+  view.running = 4;
+  gang.decide(view, 0);
+  view.placed = view.running = 3;
+  EXPECT_EQ(gang.decide(view, 1), GangDecision::StopRest);
+  view.stopping = 3;
+  EXPECT_EQ(gang.decide(view, 2), GangDecision::Wait);
+  view.placed = view.stopping = view.running = 1;
+  EXPECT_EQ(gang.decide(view, 3), GangDecision::Wait);
+  view.placed = view.stopping = view.running = 0;
+  EXPECT_EQ(gang.decide(view, 4), GangDecision::PlaceAll);
+}
+
+TEST(GangStates, AnExitEndsTheAttemptEvenWhileTheRestStillSeemsToWait) {
+  Gang gang(kWait);
+  gang.decide(whole(4), 0);
+  gang.attempt_over();
+  GangView view = whole(4);
+  view.placed = 3;
+  EXPECT_EQ(gang.decide(view, 1), GangDecision::StopRest);
+}
+
+TEST(GangStates, TwoAttemptsNeverRunBesideEachOther) {
+  Gang gang(kWait);
+  GangView view = whole(4);
+  view.one_attempt = false;
+  EXPECT_EQ(gang.decide(view, 0), GangDecision::StopRest);
+}
+
+TEST(GangStates, UnsentTasksMoveOnFromAMachineThatDoesNotReport) {
+  Gang gang(kWait);
+  GangView view = whole(4);
+  view.unsent = 4;
+  view.overdue = true;
+  EXPECT_EQ(gang.decide(view, 0), GangDecision::Unplace);
+  view.unsent = 3;  // one start has left
+  EXPECT_EQ(gang.decide(view, 1), GangDecision::Wait);
+}
+
+TEST(GangPlans, OneMachineForAllThatIsReadyFirst) {
+  const std::vector<GangCandidate> machines{
+      {"za", 8, 2.0}, {"zb", 4, 0.5}, {"za", 3, 0.0}, {"zb", 5, 0.7}};
+  const GangPlan plan = plan_gang(machines, 4, {});
+  EXPECT_EQ(plan.missing, 0U);
+  EXPECT_EQ(plan.tasks, (std::vector<std::uint32_t>{0, 4, 0, 0}));
+}
+
+TEST(GangPlans, AsFewMachinesAsPossibleInOneZoneIfAsked) {
+  const std::vector<GangCandidate> machines{{"za", 3, 0}, {"zb", 2, 0}, {"zb", 2, 0}, {"za", 2, 0}};
+  GangZones zones;
+  zones.one_zone = true;
+  EXPECT_EQ(plan_gang(machines, 5, zones).tasks, (std::vector<std::uint32_t>{3, 0, 0, 2}));
+  const GangPlan none = plan_gang(machines, 6, zones);
+  EXPECT_EQ(none.missing, 1U);
+  EXPECT_EQ(none.zone, "za");
+  EXPECT_EQ(plan_gang(machines, 6, {}).missing, 0U);
+}
+
+TEST(GangPlans, ASpreadGangKeepsToEachZonesRoom) {
+  const std::vector<GangCandidate> machines{{"za", 9, 0}, {"zb", 9, 0}};
+  GangZones zones;
+  zones.room = {{"za", 3}, {"zb", 3}};
+  EXPECT_EQ(plan_gang(machines, 5, zones).tasks, (std::vector<std::uint32_t>{3, 2}));
+  EXPECT_EQ(plan_gang(machines, 7, zones).missing, 1U);
+}
+
+// ---- scenes ----
+
+constexpr std::uint64_t kSeeds = 6;
+
+class GangScene : public ::testing::TestWithParam<Scenario> {};
+
+TEST_P(GangScene, KeepsTheRules) {
+  const Scenario& scene = GetParam();
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    DayPlan plan = quiet(seed * 17);
+    plan.length = 400'000;
+    World world(plan);
+    world.run_until(1'000);
+    submit_mixed_jobs(world, 100, 8, seed);
+    world.run_until(45'000);
+    // Two that need several machines, one of them in one zone, and one that fits on a machine.
+    JobSpec together = gang("job-1", 4, 6, 12);
+    together.one_zone = true;
+    world.submit(together);
+    world.submit(gang("job-2", 5, 6, 15));
+    world.submit(gang("job-3", 4, 2, 10));
+    world.run_until(world.now() + 50);
+    // From now on their users look closely, and call some jobs off as these end.
+    world.poll_closely(plan.length);
+    scene.play(world, seed);
+    world.run_until(world.now() + 60'000);
+    world.calm();
+    world.run_until(world.now() + 150'000);
+    world.checker().end_served();
+    EXPECT_TRUE(world.checker().violations().empty())
+        << "seed " << seed << " " << world.checker().summary();
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty())
+        << "seed " << seed << " " << world.checker().unfinished_arrays().front();
+    EXPECT_EQ(world.malformed_answers(), 0U);
+  }
+}
+
+/// Lets the world go on until a task of the job is somewhere, and returns where.
+std::string wait_for_task(World& world, const std::string& job) {
+  for (const Time until = world.now() + 60'000; world.now() < until;) {
+    const std::vector<std::string> machines = world.machines_of(job);
+    if (!machines.empty()) return machines.front();
+    world.run_until(world.now() + 10);
+  }
+  return {};
+}
+
+void wait_for_start(World& world, const std::string& job) {
+  for (const Time until = world.now() + 60'000; world.now() < until && world.gang_starts(job) == 0;)
+    world.run_until(world.now() + 10);
+}
+
+const Scenario kScenes[] = {
+    {"UndisturbedTheyAreDone",
+     [](World& w, std::uint64_t) {
+       wait_for_start(w, "job-1");
+       EXPECT_EQ(w.gang_starts("job-1"), 1U);
+     }},
+    {"AMachineEndsWhileTheGangGathers",
+     [](World& w, std::uint64_t seed) {
+       const std::string job = seed % 2 == 0 ? "job-1" : "job-2";
+       const std::string machine = wait_for_task(w, job);
+       w.cloud().machines.erase(machine);
+       w.kill_machine(machine);
+     }},
+    {"AMachineEndsWhileTheGangRuns",
+     [](World& w, std::uint64_t seed) {
+       const std::string job = seed % 2 == 0 ? "job-1" : "job-2";
+       wait_for_start(w, job);
+       w.run_until(w.now() + 3'000);
+       const std::string machine = wait_for_task(w, job);
+       w.cloud().machines.erase(machine);
+       w.kill_machine(machine);
+     }},
+    {"AMachineHangsWhileTheGangRuns",
+     [](World& w, std::uint64_t seed) {
+       wait_for_start(w, "job-2");
+       w.hang_machine(wait_for_task(w, "job-2"), seed % 2 == 0 ? 5'000 : 30'000);
+     }},
+    {"AMachineIsCutOffWhileTheGangGathersOrRuns",
+     [](World& w, std::uint64_t seed) {
+       if (seed % 2 == 0) wait_for_start(w, "job-1");
+       cut_off(w, wait_for_task(w, "job-1"), 25'000, seed % 3 == 0);
+     }},
+    {"OneMachineGetsANotice",
+     [](World& w, std::uint64_t seed) {
+       const std::string job = seed % 2 == 0 ? "job-1" : "job-2";
+       wait_for_start(w, job);
+       w.run_until(w.now() + 5'000);
+       w.notice_machine(wait_for_task(w, job), 6'000);
+     }},
+    {"StopsArriveLate",
+     [](World& w, std::uint64_t seed) {
+       wait_for_start(w, "job-2");
+       w.slow_commands(20'000);
+       w.run_until(w.now() + 3'000 + 500 * static_cast<Time>(seed));
+       w.notice_machine(wait_for_task(w, "job-2"), 8'000);
+     }},
+    {"AStopDoesNotReachOneMachine",
+     [](World& w, std::uint64_t) {
+       wait_for_start(w, "job-2");
+       const auto machines = w.machines_of("job-2");
+       ASSERT_FALSE(machines.empty());
+       w.deafen_machine(machines.back(), 15'000);
+       w.notice_machine(machines.front(), 8'000);
+     }},
+    {"TheLeaderEndsInEachPhase",
+     [](World& w, std::uint64_t seed) {
+       w.run_until(w.now() + 200 * static_cast<Time>(seed));
+       w.kill(leader_of(w), 4'000);
+       wait_for_task(w, "job-2");
+       w.kill(leader_of(w), 4'000);
+       wait_for_start(w, "job-2");
+       w.kill(leader_of(w), 4'000);
+       w.run_until(w.now() + 4'000);
+       w.notice_machine(wait_for_task(w, "job-2"), 8'000);
+       w.run_until(w.now() + 300);
+       w.kill(leader_of(w), 4'000);
+     }},
+    {"TheLeaderEndsAsAGangIsDone",
+     [](World& w, std::uint64_t seed) {
+       bool ended = false;
+       w.on_completed = [&w, &ended, seed](const TaskKey& key, const std::string&) {
+         if (key.job != "job-2" || std::exchange(ended, true)) return;
+         w.kill(leader_of(w), seed % 2 == 0 ? 300 : 5'000);
+       };
+       w.run_until(w.now() + 60'000);
+       w.on_completed = nullptr;
+       EXPECT_TRUE(ended);
+     }},
+    {"OneTaskIsDoneAndTheOtherMachinesAreSilent",
+     [](World& w, std::uint64_t) {
+       bool cut = false;
+       w.on_completed = [&w, &cut](const TaskKey& key, const std::string& machine) {
+         if (key.job != "job-2" || std::exchange(cut, true)) return;
+         for (const std::string& other : w.machines_of("job-2"))
+           if (other != machine) cut_off(w, other, 30'000, false);
+       };
+       w.run_until(w.now() + 60'000);
+       w.on_completed = nullptr;
+       EXPECT_TRUE(cut);
+     }},
+    {"ZonesArePartedWhileGangsRun",
+     [](World& w, std::uint64_t seed) {
+       if (seed % 2 == 0) wait_for_start(w, "job-2");
+       w.cut_zone("za", 15'000, seed % 3 == 0);
+     }},
+    {"CancelledInEachPhase",
+     [](World& w, std::uint64_t seed) {
+       w.run_until(w.now() + 300);
+       if (seed % 3 == 0) w.cancel("job-2");
+       wait_for_task(w, "job-1");
+       if (seed % 3 == 1) w.cancel("job-1");
+       wait_for_start(w, "job-3");
+       if (seed % 3 == 2) w.cancel("job-3");
+       w.run_until(w.now() + 2'000);
+       const std::string other = seed % 3 == 1 ? "job-2" : "job-1";
+       const std::string machine = wait_for_task(w, other);
+       if (!machine.empty()) w.notice_machine(machine, 5'000);
+       w.run_until(w.now() + 400);
+       w.cancel(other);
+     }},
+    {"ReportsComeLateWhileGangsStartAgain",
+     [](World& w, std::uint64_t) {
+       w.late_reports(0.4, 40'000);
+       w.reports_for_next(0.4, 20'000);
+       wait_for_start(w, "job-1");
+       w.kill(leader_of(w), 4'000);
+       w.run_until(w.now() + 8'000);
+       const std::string machine = wait_for_task(w, "job-2");
+       if (!machine.empty()) w.kill_machine(machine);
+     }},
+    {"MoreImportantWorkTakesTheirRoom", [](World& w, std::uint64_t) {
+       wait_for_start(w, "job-2");
+       for (std::size_t n = 50; n < 58; ++n) {
+         JobSpec s = service(job_id(n), 2);
+         s.need = {7, 1, 10};
+         w.submit(s, w.now() + 40'000);
+       }
+     }}};
+
+INSTANTIATE_TEST_SUITE_P(Scenes, GangScene, ::testing::ValuesIn(kScenes), scenario_name);
+
+// An orderly stop keeps what was reached: the next attempt goes on from there.
+TEST(GangStops, ANoticeOnOneMachineSavesTheProgressOfAll) {
+  World world(quiet(3));
+  world.run_until(1'000);
+  JobSpec spec = gang("job-1", 5, 6, 60);
+  spec.checkpoint_s = 1'000;  // never by itself
+  world.submit(spec);
+  wait_for_start(world, "job-1");
+  world.run_until(world.now() + 10'000);
+  world.notice_machine(world.machines_of("job-1").front(), 8'000);
+  world.run_until(world.now() + 6'000);
+  EXPECT_GT(world.gang_saved_ms("job-1"), 8'000);
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
+// A gang that needs exactly its team's limit runs, and one that needs more is refused.
+TEST(GangLimits, ATeamExactlyAtItsLimit) {
+  World world(quiet(4));
+  world.run_until(1'000);
+  JobSpec spec = gang("job-1", 6, 2, 10);
+  spec.team = "blue";
+  spec.need.gpus = 2;  // 12 in all, as the team may use
+  world.submit(spec);
+  JobSpec single = array("job-2", 1, 5);
+  single.team = "blue";
+  world.submit(single);
+  world.run_until(70'000);
+  EXPECT_TRUE(world.checker().unfinished_arrays().empty());
+  spec.id = "job-3";
+  spec.tasks = 7;
+  int status = 0;
+  world.submit(spec);
+  world.ask_for("job-3", leader_of(world), UserOp::Submit, [&status](int s) { status = s; });
+  world.run_until(72'000);
+  EXPECT_EQ(status, 422);
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
+// All at the same time, and at most half of them in a zone: in one zone that can't be.
+TEST(GangLimits, AGangThatCanNeverRunIsRefused) {
+  World world(quiet(5));
+  world.run_until(3'000);
+  const auto status_of = [&world](const JobSpec& spec) {
+    int status = 0;
+    world.submit(spec);
+    world.ask_for(spec.id, leader_of(world), UserOp::Submit, [&status](int s) { status = s; });
+    world.run_until(world.now() + 1'000);
+    return status;
+  };
+  JobSpec spec = gang("job-1", 4, 2, 10);
+  spec.spread = true;
+  EXPECT_LT(status_of(spec), 300);
+  spec.id = "job-2";
+  spec.zone = "za";
+  EXPECT_EQ(status_of(spec), 422);
+  spec.id = "job-3";
+  spec.zone.clear();
+  spec.one_zone = true;
+  EXPECT_EQ(status_of(spec), 422);
+  spec.id = "job-4";
+  spec.tasks = 1;
+  EXPECT_LT(status_of(spec), 300);
+}
+
+// Gangs that need most of a zone each, among single tasks that come all the time: none starves, and
+// none holds room that another waits for.
+TEST(GangRoom, SwarmsOfGangsAndSingleTasksAllGetOn) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    DayPlan plan = quiet(seed);
+    plan.length = 900'000;
+    World world(plan);
+    world.run_until(1'000);
+    pcg32 random(seed);
+    for (std::size_t n = 0; n < 60; ++n) {
+      JobSpec single = array(job_id(n), 2, 8);
+      single.spot = false;
+      single.priority = Priority::Normal;
+      if (n % 4 != 0) {
+        world.submit(single);
+      } else {
+        JobSpec spec = gang(job_id(n), 4 + random(5), 5, 8);
+        spec.team = "guest";
+        spec.one_zone = random(2) == 0;
+        spec.need.gpus = 2;
+        world.submit(spec);
+      }
+      world.run_until(world.now() + 500 + random(2'000));
+    }
+    world.run_until(600'000);
+    EXPECT_TRUE(world.checker().violations().empty())
+        << "seed " << seed << " " << world.checker().summary();
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty())
+        << "seed " << seed << " " << world.checker().unfinished_arrays().front();
+  }
+}
+
+}  // namespace
+}  // namespace sailreel::sim
--- a/tests/sim/checker.hpp
+++ b/tests/sim/checker.hpp
@@ -152,6 +152,11 @@
       used_[j.spec->team] -= j.spec->need;
     if (completed) j.completed.insert(key.index);
   }
+  /// A gang is done: all its tasks are, since they complete together.
+  void gang_completed(const std::string& id) {
+    JobBook& j = jobs_[id];
+    for (std::uint32_t i = 0; j.spec && i < j.spec->tasks; ++i) j.completed.insert(i);
+  }
   /// To be called after each step of the day.
   void step(Time now) {
     if (now < next_) return;
@@ -182,7 +187,7 @@
     for (const auto& [id, j] : jobs_) {
       if (!j.accepted || !j.spec || (j.asked && !j.begun)) continue;
       const bool is_served =
-          j.spec->kind == JobKind::Array ? !j.final_state.empty() : j.begun.has_value();
+          j.spec->kind != JobKind::Service ? !j.final_state.empty() : j.begun.has_value();
       const auto count = [&](const std::string& group) {
         auto& [n, of] = served[group];
         n += is_served ? 1 : 0;
@@ -217,7 +222,8 @@
   [[nodiscard]] std::vector<std::string> unfinished_arrays() const {
     std::vector<std::string> out;
     for (const auto& [id, j] : jobs_)
-      if (j.accepted && j.spec->kind == JobKind::Array && j.final_state.empty()) out.push_back(id);
+      if (j.accepted && j.spec->kind != JobKind::Service && j.final_state.empty())
+        out.push_back(id);
     return out;
   }
 
--- a/tests/sim/scenarios.hpp
+++ b/tests/sim/scenarios.hpp
@@ -38,6 +38,20 @@
   return s;
 }
 
+/// A gang whose tasks need so many CPUs each. A machine of the simulated world has 16.
+inline JobSpec gang(const std::string& id, std::uint32_t tasks, double cpus, double run_s) {
+  JobSpec s = array(id, tasks, run_s);
+  s.kind = JobKind::Gang;
+  s.job_class = "gang";
+  s.priority = Priority::Normal;
+  s.need = {cpus, 0, 4};
+  s.image_gb = 1;
+  s.spot = false;
+  s.checkpoint_s = 4;
+  s.save_s = 1;
+  return s;
+}
+
 /// What happens in the middle of such a day; a case of a test by its name.
 struct Scenario {
   const char* name;
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -183,6 +183,7 @@
       s.checkpoint_s = 5;
       s.save_s = 1;
     }
+    if (plan_.gangs && n % 3 == 1) make_gang(s);
     const Time when = n < plan_.jobs / 3
                           ? 500 + random_(2000)
                           : 5'000 + random_(static_cast<std::uint32_t>(plan_.length * 6 / 10));
@@ -192,6 +193,22 @@
   }
 }
 
+void World::make_gang(JobSpec& s) {
+  s.kind = JobKind::Gang;
+  s.job_class = "gang";
+  s.priority = static_cast<Priority>(random_(4));
+  s.tasks = 2 + random_(5);
+  s.need = {2, random_(4) == 0 ? 1.0 : 0.0, 6};
+  s.estimate_s = 5 + random_(20);
+  s.image_gb = 1;
+  s.one_zone = random_(2) == 0;
+  s.spread = !s.one_zone && s.zone.empty() && random_(4) == 0;
+  s.spot = random_(2) == 0;
+  if (random_(3) == 0) return;
+  s.checkpoint_s = 4;
+  s.save_s = 1;
+}
+
 // What the operators saw break rules: troubles that meet. Two or three of them begin within
 // seconds, while users look closely and call jobs off; four such meetings a day.
 void World::plan_fault_pairs() {
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -81,6 +81,8 @@
 
 void World::advance(Worker& w, WorkTask& t) {
   ReportedTask& r = t.report;
+  const User* user = user_of(r.key.job);
+  if (is_gang(user)) return advance_gang(w, t, *user);
   if (r.state == RunState::Fetching && now_ >= t.image_at) begin_task(w, t);
   const bool fails = mistaken_.contains(r.key.job) || faulty_.contains(w.machine.name);
   if (r.state == RunState::Running && now_ >= t.image_at + 300 && fails) {
@@ -172,15 +174,19 @@
     }
     j.Key("hands");
     j.StartArray();
-    static const char* const kState[] = {"pulling", "running", "flushing", "ended"};
-    static const char* const kCause[] = {"",        "done", "stopped", "error",
-                                         "no_room", "busy", "unknown"};
+    static const char* const kState[] = {"pulling", "running", "flushing", "ended", "gathering"};
+    static const char* const kCause[] = {"",     "done",    "stopped",    "error",     "no_room",
+                                         "busy", "unknown", "mates_gone", "incomplete"};
     for (const ReportedTask& t : report.tasks) {
       j.StartObject();
       text("hand", t.key.job + "/" + std::to_string(t.key.index));
       whole("launch", t.attempt);
       text("heading", kState[static_cast<std::size_t>(t.state)]);
       if (t.state == RunState::Exited) text("wake", kCause[static_cast<std::size_t>(t.cause)]);
+      if (t.saved) {
+        j.Key("kept");
+        j.Bool(true);
+      }
       j.EndObject();
     }
     j.EndArray();
@@ -281,6 +287,7 @@
     case Command::Op::Stop: {
       if (same == list.end() || same->report.state == RunState::Exited) return;
       const User* user = user_of(c.key.job);
+      if (is_gang(user)) return stop_gang_task(*same, *user, c.grace_s, w);
       const bool saves = same->report.state == RunState::Running && user != nullptr &&
                          user->spec.checkpoint_s > 0 && c.grace_s >= user->spec.save_s;
       if (saves) {
@@ -404,6 +411,7 @@
                      (u.cancel_at == 0 || now_ < u.cancel_at) &&
                      there + u.completed.size() < s.tasks;
   if (!wants || !team_allows(s, now)) return false;
+  if (s.kind == JobKind::Gang) return there == 0 && gang_could_start(s, now);
   const auto found = now.zones.find(s.id);
   static const std::map<std::string, std::size_t> kNowhere;
   const auto& zones = found == now.zones.end() ? kNowhere : found->second;
@@ -418,9 +426,23 @@
   });
 }
 
+// All of it has room at once, in one zone if need be. Spread gangs aren't judged.
+bool World::gang_could_start(const JobSpec& s, const Occupancy& now) {
+  if (s.spread) return false;
+  std::map<std::string, std::uint32_t> slots;
+  for (Room room : now.rooms) {
+    const std::string& zone = room.worker->machine.zone;
+    if ((room.worker->machine.spot && !s.spot) || (!s.zone.empty() && s.zone != zone)) continue;
+    for (; s.need.fits_in(room.free); room.free -= s.need) ++slots[s.one_zone ? zone : ""];
+  }
+  return std::any_of(slots.begin(), slots.end(),
+                     [&](const auto& entry) { return entry.second >= s.tasks; });
+}
+
 bool World::team_allows(const JobSpec& s, const Occupancy& now) const {
   const auto it = now.used.find(s.team);
-  const Resources used = it == now.used.end() ? Resources{} : it->second;
+  Resources used = it == now.used.end() ? Resources{} : it->second;
+  if (s.kind == JobKind::Gang) used += s.need.times(s.tasks - 1);
   return std::any_of(settings_[0].teams.begin(), settings_[0].teams.end(), [&](const Team& t) {
     return t.name == s.team && (t.gpus_max <= 0 || used.gpus + s.need.gpus <= t.gpus_max) &&
            (t.cpus_max <= 0 || used.cpus + s.need.cpus <= t.cpus_max);
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -104,6 +104,8 @@
     if (plan.scale <= 50) s.workers.report_s = plan.report_s;
     s.workers.lease_s = plan.lease_s;
     s.workers.cancel_s = plan.cancel_s;
+    s.workers.gang_wait_s = plan.gang_wait_s;
+    s.workers.gang_peer_s = plan.gang_peer_s;
   }
   state_.limit_rates(settings_[0].store.rps, settings_[0].store.write_rps);
   MachineType t;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -25,7 +25,9 @@
   std::uint32_t jobs = 40;
   bool troubles = true;
   bool fault_pairs = false;  // troubles that meet, instead of single ones
-  std::uint32_t scale = 1;   // of the capacity and the teams; 12 machines at 1
+  bool gangs = false;        // a third of the jobs are gangs
+  double gang_wait_s = 20, gang_peer_s = 2;
+  std::uint32_t scale = 1;  // of the capacity and the teams; 12 machines at 1
   double loss = 0.002;
   double late_copies = 0.01;
   double report_s = 1, lease_s = 10, cancel_s = 30;
@@ -118,6 +120,13 @@
   [[nodiscard]] const std::vector<Time>& submission_delays() const { return submission_delays_; }
   [[nodiscard]] std::uint64_t reports() const { return reports_; }
   [[nodiscard]] std::uint64_t malformed_answers() const { return malformed_; }
+  /// How often a gang has started, and how much of its progress is saved.
+  [[nodiscard]] std::uint32_t gang_starts(const std::string& job) {
+    return gang_progress_[job].starts;
+  }
+  [[nodiscard]] Time gang_saved_ms(const std::string& job) { return gang_progress_[job].saved_ms; }
+  /// Where tasks of a job are, whether they run or wait.
+  [[nodiscard]] std::vector<std::string> machines_of(const std::string& job) const;
   /// Called when a worker has completed a task, before anybody hears of it.
   std::function<void(const TaskKey&, const std::string& machine)> on_completed;
   /// Called when a task that had begun to run is on its machine no longer.
@@ -138,6 +147,21 @@
     ReportedTask report;
     Time image_at = 0, done_at = 0, exits_at = 0;
     bool on = false;
+    Time waiting_since = 0;  // of a gang's task
+    bool saved = false;      // the same: has saved, and waits for the others
+  };
+  /// One attempt of a gang, by the protocol's table of its phases.
+  struct GangRun {
+    bool started = false, done = false, stop_failed = false;
+    Time started_at = 0, done_at = 0;
+    Time broken_at = 0;   // a task of it was lost while it ran; 0: none
+    Time stopped_at = 0;  // first told to stop; 0: not at all
+  };
+  /// What outlives the attempts.
+  struct GangProgress {
+    Time total_ms = 0, saved_ms = 0;
+    bool done = false;
+    std::uint32_t starts = 0;
   };
   struct Worker {
     CloudMachine machine;
@@ -194,6 +218,15 @@
   void advance(Worker& w, WorkTask& t);
   void begin_task(Worker& w, WorkTask& t);
   void end_task(Worker& w, WorkTask& t, ExitCause cause);
+  [[nodiscard]] static bool is_gang(const User* user) {
+    return user != nullptr && user->spec.kind == JobKind::Gang;
+  }
+  void advance_gang(Worker& w, WorkTask& t, const User& user);
+  void start_gang_if_complete(const User& user, std::uint64_t attempt);
+  void break_gang(const User& user, GangRun& run);
+  void stop_gang_task(WorkTask& t, const User& user, double grace_s, Worker& w);
+  [[nodiscard]] std::uint32_t gang_tasks_present(const User& user, std::uint64_t attempt,
+                                                 bool saved_only) const;
   void send_report(Worker& w);
   Report make_report(Worker& w);
   void obey(Worker& w, const Command& c);
@@ -230,6 +263,7 @@
   };
   [[nodiscard]] Occupancy occupancy() const;
   [[nodiscard]] bool could_start(const User& u, const Occupancy& now) const;
+  [[nodiscard]] static bool gang_could_start(const JobSpec& s, const Occupancy& now);
   [[nodiscard]] bool team_allows(const JobSpec& s, const Occupancy& now) const;
   void deliver_copies();
   void deliver_everywhere(const std::string& raw);
@@ -243,6 +277,7 @@
   void plan_fault_pairs();
   void inject_fault(std::uint32_t kind);
   void plan_jobs();
+  void make_gang(JobSpec& spec);
 
   DayPlan plan_;
   pcg32 random_;
@@ -273,6 +308,8 @@
   Time poll_closely_until_ = 0;
   std::vector<std::string> kept_reports_;
   std::set<std::string> mistaken_, faulty_;
+  std::map<std::pair<std::string, std::uint64_t>, GangRun> gang_runs_;
+  std::map<std::string, GangProgress> gang_progress_;
   std::uint64_t copied_epoch_ = 0;
   std::uint64_t next_odd_ = 1;
   std::uint64_t next_call_ = 1;
