--- /dev/null
+++ b/tests/production/production_controller.hpp
@@ -0,0 +1,14 @@
+// The controller of the version in production (`production` in deploy/service.toml), built from the
+// repository's history.
+#pragma once
+
+#include <memory>
+
+#include "sim/controller.hpp"
+
+namespace sailreel::sim {
+
+std::unique_ptr<Controller> make_production_controller(const Settings& settings,
+                                                       std::uint64_t seed);
+
+}  // namespace sailreel::sim
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -288,6 +288,38 @@
     EXPECT_NE(complaint(settings(from, to)).find("settings: " + field + ":"), std::string::npos)
         << field << " in " << complaint(settings(from, to));
   EXPECT_NE(complaint("[]"), "");
+  const std::string operations = R"("txn_ops":16)";
+  const auto next = [&](const std::string& fields) {
+    return settings(operations, operations + ",\"next\":" + fields);
+  };
+  const std::vector<std::array<std::string, 2>> bad_limits{
+      {R"([1])", "settings.state.next"},
+      {R"({"value_kb":"2"})", "settings.state.next.value_kb"},
+      {R"({"value_kb":0})", "settings.state.next.value_kb"},
+      {R"({"value_kb":0.5})", "settings.state.next.value_kb"},
+      {R"({"write_rps":-1})", "settings.state.next.write_rps"},
+      {R"({"txn_ops":2})", "settings.state.next.txn_ops"},
+      {R"({"txn_ops":5.5})", "settings.state.next.txn_ops"}};
+  for (const auto& [fields, field] : bad_limits)
+    EXPECT_NE(complaint(next(fields)).find("settings: " + field + ":"), std::string::npos)
+        << fields << " gave " << complaint(next(fields));
+  EXPECT_NE(complaint(settings(R"("report_s":2)", R"("report_s":2,"gang_wait_s":0)"))
+                .find("settings.workers.gang_wait_s"),
+            std::string::npos);
+}
+
+TEST(SettingsFile, TheSmallerOfPresentAndLaterLimitsCounts) {
+  const std::string operations = R"("txn_ops":16)";
+  const Settings lower = parse_settings(
+      settings(operations, operations + R"(,"next":{"write_rps":15.0,"value_kb":2,"txn_ops":5})"));
+  EXPECT_EQ(lower.store.write_rps, 15);
+  EXPECT_EQ(lower.store.value_kb, 2);
+  EXPECT_EQ(lower.store.txn_ops, 5U);
+  EXPECT_EQ(lower.store.rps, 80);
+  const Settings higher =
+      parse_settings(settings(operations, operations + R"(,"next":{"value_kb":64,"txn_ops":99})"));
+  EXPECT_EQ(higher.store.value_kb, 8);
+  EXPECT_EQ(higher.store.txn_ops, 16U);
 }
 
 }  // namespace
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -6,9 +6,9 @@
 int World::leader() const {
   int best = -1;
   for (std::size_t i = 0; i < nodes_.size(); ++i)
-    if (nodes_[i].core && nodes_[i].core->leading() &&
-        (best < 0 ||
-         nodes_[i].core->epoch() > nodes_[static_cast<std::size_t>(best)].core->epoch()))
+    if (nodes_[i].controller && nodes_[i].controller->leading() &&
+        (best < 0 || nodes_[i].controller->epoch() >
+                         nodes_[static_cast<std::size_t>(best)].controller->epoch()))
       best = static_cast<int>(i);
   return best;
 }
@@ -22,8 +22,8 @@
 
 void World::kill(std::size_t node, Time for_ms) {
   Node& n = nodes_[node];
-  if (!n.core) return;
-  n.core.reset();
+  if (!n.controller) return;
+  n.controller.reset();
   n.frozen_until = 0;
   ++n.incarnation;
   for (std::size_t j = 0; j < nodes_.size(); ++j) {
@@ -34,10 +34,25 @@
         carry(n.name, nodes_[j].name, [this, j, k] { feed(j, PeerLost{k}); });
   }
   at(now_ + for_ms, [this, node] {
-    if (!nodes_[node].core) start_node(node);
+    if (!nodes_[node].controller) start_node(node);
   });
 }
 
+void World::upgrade(std::size_t node, Time for_ms) {
+  nodes_[node].upgraded = true;
+  kill(node, for_ms);
+}
+
+bool World::all_upgraded() const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& n) { return n.upgraded; });
+}
+
+void World::lower_limits() {
+  state_.value_limit = static_cast<std::size_t>(plan_.next_value_kb * 1024);
+  state_.ops_limit = plan_.next_txn_ops;
+  state_.limit_rates(settings_[0].store.rps, plan_.next_write_rps);
+}
+
 void World::cut(const std::string& a, const std::string& b, Time for_ms, bool hold) {
   const auto key = std::minmax(a, b);
   cuts_[{key.first, key.second}] = {now_ + for_ms, hold};
--- a/tests/sim/users.cpp
+++ b/tests/sim/users.cpp
@@ -74,7 +74,7 @@
   }
   std::vector<std::size_t> healthy;
   for (std::size_t i = 0; i < nodes_.size(); ++i)
-    if (nodes_[i].core) healthy.push_back(i);
+    if (nodes_[i].controller) healthy.push_back(i);
   if (healthy.empty()) return user_next(index, now_ + 1000);
   const std::size_t i = healthy[random_(static_cast<std::uint32_t>(healthy.size()))];
   const std::uint64_t turn = u.turn;
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -199,7 +199,7 @@
   };
   if (now_ >= w.mute_until)
     carry(name, node_name(i), [this, i, deliver, call, finish] {
-      if (!nodes_[i].core) return finish(0, "");
+      if (!nodes_[i].controller) return finish(0, "");
       deliver({Origin::Kind::Local, call, 0});
     });
   if (random_(1000) < plan_.late_copies * 1000)
@@ -367,7 +367,7 @@
 void World::deliver_copies() {
   const int lead = leader();
   if (lead < 0) return;
-  const std::uint64_t epoch = nodes_[static_cast<std::size_t>(lead)].core->epoch();
+  const std::uint64_t epoch = nodes_[static_cast<std::size_t>(lead)].controller->epoch();
   if (epoch <= copied_epoch_) return;
   copied_epoch_ = epoch;
   for (const std::string& raw : kept_reports_)
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -106,8 +106,14 @@
     s.workers.cancel_s = plan.cancel_s;
     s.workers.gang_wait_s = plan.gang_wait_s;
     s.workers.gang_peer_s = plan.gang_peer_s;
+    // As the settings' reader does it: the smaller of both.
+    if (plan.next_value_kb > 0) s.store.value_kb = std::min(s.store.value_kb, plan.next_value_kb);
+    if (plan.next_txn_ops > 0) s.store.txn_ops = std::min(s.store.txn_ops, plan.next_txn_ops);
+    if (plan.next_write_rps > 0)
+      s.store.write_rps = std::min(s.store.write_rps, plan.next_write_rps);
   }
-  state_.limit_rates(settings_[0].store.rps, settings_[0].store.write_rps);
+  const Settings full = sample_settings(0, plan.scale);
+  state_.limit_rates(full.store.rps, full.store.write_rps);
   MachineType t;
   t.name = "box";
   t.size = {16, 8, 128};
@@ -196,14 +202,21 @@
   ++n.incarnation;
   n.direct_calls.clear();
   n.drift = 1.0 + static_cast<double>(random_(500)) * 1e-6;
-  n.core =
-      std::make_unique<Core>(settings_[i], Options{}, plan_.seed * 1000 + n.incarnation * 10 + i);
+  const std::uint64_t seed = plan_.seed * 1000 + n.incarnation * 10 + i;
+  if (plan_.production && !n.upgraded) {
+    // It knows nothing of limits that are to come.
+    Settings settings = settings_[i];
+    settings.store = sample_settings(i, plan_.scale).store;
+    n.controller = plan_.production(settings, seed);
+  } else {
+    n.controller = std::make_unique<PresentController>(settings_[i], seed);
+  }
   feed(i, Tick{});
 }
 
 void World::feed(std::size_t i, Input input) {
   Node& n = nodes_[i];
-  if (!n.core) return;
+  if (!n.controller) return;
   if (now_ < n.frozen_until) {
     const auto held = std::make_shared<Input>(std::move(input));
     return at(n.frozen_until, [this, i, held, incarnation = n.incarnation] {
@@ -211,10 +224,10 @@
     });
   }
   const Clock clock{steady_clock(i), 1'700'000'000'000 + now_ + static_cast<Time>(random_(10)) - 5};
-  auto actions = n.core->step(clock, std::move(input));
+  auto actions = n.controller->step(clock, std::move(input));
   const std::uint64_t incarnation = n.incarnation;
   for (Action& a : actions)
-    if (n.core && n.incarnation == incarnation) act(i, a);
+    if (n.controller && n.incarnation == incarnation) act(i, a);
 }
 
 Time World::steady_clock(std::size_t node) const {
@@ -227,7 +240,7 @@
 
 std::function<bool()> World::still_alive(std::size_t i) const {
   return [this, i, incarnation = nodes_[i].incarnation] {
-    return nodes_[i].core && nodes_[i].incarnation == incarnation;
+    return nodes_[i].controller && nodes_[i].incarnation == incarnation;
   };
 }
 
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -14,6 +14,7 @@
 
 #include "coordination/core.hpp"
 #include "sim/checker.hpp"
+#include "sim/controller.hpp"
 #include "sim/stand_ins.hpp"
 
 namespace sailreel::sim {
@@ -27,6 +28,11 @@
   bool fault_pairs = false;  // troubles that meet, instead of single ones
   bool gangs = false;        // a third of the jobs are gangs
   double gang_wait_s = 20, gang_peer_s = 2;
+  /// The state service's limits fall to these some time; 0: never.
+  double next_value_kb = 0, next_write_rps = 0;
+  std::uint64_t next_txn_ops = 0;
+  /// The day begins with controllers of another version, which are upgraded one by one.
+  std::function<std::unique_ptr<Controller>(const Settings&, std::uint64_t seed)> production;
   std::uint32_t scale = 1;  // of the capacity and the teams; 12 machines at 1
   double loss = 0.002;
   double late_copies = 0.01;
@@ -56,6 +62,11 @@
 
   // Troubles.
   void kill(std::size_t node, Time for_ms);
+  /// The process ends and comes back with the present version.
+  void upgrade(std::size_t node, Time for_ms);
+  [[nodiscard]] bool all_upgraded() const;
+  /// The state service's limits fall, without notice.
+  void lower_limits();
   void cut(const std::string& a, const std::string& b, Time for_ms, bool hold);
   /// The zone's controllers and machines lose everything outside of it.
   void cut_zone(const std::string& zone, Time for_ms, bool hold);
@@ -110,7 +121,10 @@
                const std::function<void(int)>& then);
   /// The node that leads under the highest epoch; -1: none does.
   [[nodiscard]] int leader() const;
-  [[nodiscard]] const Core* core(std::size_t node) const { return nodes_[node].core.get(); }
+  /// The node's core; null while it is down or runs the version in production.
+  [[nodiscard]] const Core* core(std::size_t node) const {
+    return nodes_[node].controller ? nodes_[node].controller->core() : nullptr;
+  }
   [[nodiscard]] std::vector<std::string> machines_up() const;
   /// Submissions that got no answer within their user's patience.
   [[nodiscard]] std::uint64_t unanswered_submissions() const { return unanswered_; }
@@ -137,7 +151,8 @@
  private:
   struct Node {
     std::string name;
-    std::unique_ptr<Core> core;
+    std::unique_ptr<Controller> controller;
+    bool upgraded = false;  // where the day begins with the version in production
     std::uint64_t incarnation = 0;
     double drift = 1.0;
     Time refused_until = 0, frozen_until = 0;
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,197 @@
+// Upgrades in the middle of a day: controllers of the version in production are replaced one by
+// one, in every order, while troubles come; afterwards the state service's limits fall and gangs
+// are submitted. The version in production is its real core, built from the history.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "production/production_controller.hpp"
+#include "sim/scenarios.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+constexpr Time kBegin = 55'000, kApart = 12'000, kDown = 3'000;
+
+DayPlan upgrade_day(std::uint64_t seed) {
+  DayPlan plan = quiet(seed);
+  plan.length = 600'000;
+  plan.next_value_kb = 2;
+  plan.next_txn_ops = 5;
+  plan.next_write_rps = 20;
+  plan.production = make_production_controller;
+  return plan;
+}
+
+/// What meets the roll between its steps; a case of a test by its name.
+struct RollTrouble {
+  const char* name;
+  std::function<void(World&, int step)> play;
+};
+// NOLINTNEXTLINE(readability-identifier-naming): GoogleTest looks for this name
+void PrintTo(const RollTrouble& trouble, std::ostream* out) { *out << trouble.name; }
+
+class Upgrade : public ::testing::TestWithParam<RollTrouble> {};
+
+TEST_P(Upgrade, KeepsTheRulesInEveryOrder) {
+  std::vector<std::size_t> order{0, 1, 2};
+  std::uint64_t seed = 1;
+  do {
+    World world(upgrade_day(seed * 11));
+    world.run_until(1'000);
+    submit_mixed_jobs(world, 0, 40, seed);
+    world.run_until(kBegin);
+    world.poll_closely(300'000);
+    int step = 0;
+    for (const std::size_t node : order) {
+      GetParam().play(world, step++);
+      world.upgrade(node, kDown);
+      world.run_until(world.now() + kApart);
+    }
+    world.run_until(world.now() + 10'000);
+    world.lower_limits();
+    submit_mixed_jobs(world, 100, 12, seed);
+    for (std::size_t n = 200; n < 206; ++n) {
+      JobSpec spec = gang(job_id(n), 2 + n % 5, 3, 10);
+      spec.one_zone = n % 2 == 0;
+      world.submit(spec);
+    }
+    world.run_until(world.now() + 5'000);
+    world.kill(leader_of(world), 4'000);
+    world.run_until(world.now() + 60'000);
+    world.calm();
+    for (std::size_t n = 0; n < 40; n += 3) world.cancel(job_id(n));
+    world.run_until(world.now() + 150'000);
+    world.checker().end_served();
+    EXPECT_TRUE(world.checker().violations().empty())
+        << "seed " << seed << " " << world.checker().summary();
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty())
+        << "seed " << seed << " " << world.checker().unfinished_arrays().front();
+    EXPECT_EQ(world.state().malformed, 0U);
+    EXPECT_EQ(world.malformed_answers(), 0U);
+    ++seed;
+  } while (std::next_permutation(order.begin(), order.end()));
+}
+
+const RollTrouble kTroubles[] = {{"Undisturbed", [](World&, int) {}},
+                                 {"TheLeaderEndsAndComesBackAsItWas",
+                                  [](World& w, int) {
+                                    w.kill(leader_of(w), 500);
+                                    w.run_until(w.now() + 4'000);
+                                    w.kill(leader_of(w), 300);
+                                    w.run_until(w.now() + 3'000);
+                                  }},
+                                 {"ALeaderIsFrozen",
+                                  [](World& w, int) {
+                                    w.freeze(leader_of(w), 6'000);
+                                    w.run_until(w.now() + 3'000);
+                                  }},
+                                 {"OneIsRefusedByTheStateService",
+                                  [](World& w, int step) {
+                                    w.refuse_state(static_cast<std::size_t>(step), 14'000);
+                                    w.run_until(w.now() + 1'000);
+                                  }},
+                                 {"TheStateServiceIsDown",
+                                  [](World& w, int) {
+                                    w.state_outage(8'000);
+                                    w.run_until(w.now() + 1'000);
+                                  }},
+                                 {"AZoneIsCutOff",
+                                  [](World& w, int step) {
+                                    w.cut_zone(step % 2 == 0 ? "za" : "zb", 11'000, step == 1);
+                                    w.run_until(w.now() + 2'000);
+                                  }},
+                                 {"ControllersLoseEachOther",
+                                  [](World& w, int step) {
+                                    w.isolate(static_cast<std::size_t>(step), 9'000, step == 0);
+                                    w.run_until(w.now() + 2'000);
+                                  }},
+                                 {"RoundsAreInDoubtAtEachChange",
+                                  [](World& w, int step) {
+                                    w.late_writes(0.5, 6'000, step % 2 == 0);
+                                    w.late_reports(0.3, 6'000);
+                                    w.cancel_now(3, 0);
+                                    w.run_until(w.now() + 500);
+                                    w.kill(leader_of(w), 2'000);
+                                    w.run_until(w.now() + 500);
+                                  }},
+                                 {"CancelledByOneVersionAndEnforcedByTheOther",
+                                  [](World& w, int step) {
+                                    w.cancel_now(4, step == 1 ? 6'000 : 0);
+                                    w.run_until(w.now() + 60);
+                                  }},
+                                 {"AllEndAtOnce", [](World& w, int) {
+                                    for (std::size_t i = 0; i < 3; ++i)
+                                      w.kill(i, 1'000 + 300 * static_cast<Time>(i));
+                                    w.run_until(w.now() + 2'500);
+                                  }}};
+
+INSTANTIATE_TEST_SUITE_P(Troubles, Upgrade, ::testing::ValuesIn(kTroubles),
+                         [](const auto& info) { return std::string(info.param.name); });
+
+// Limits may fall as soon as all are new, and the version in production has left values that are
+// larger: many jobs, a full head, long lists of machines.
+TEST(Upgrade, LimitsFallAtAnyStepAfterwardsWithLargeValuesStored) {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    DayPlan plan = upgrade_day(seed * 5);
+    plan.next_value_kb = seed % 2 == 0 ? 2 : 1;
+    plan.next_txn_ops = seed % 4 < 2 ? 5 : 3;
+    World world(plan);
+    world.run_until(1'000);
+    submit_mixed_jobs(world, 0, 90, seed);
+    JobSpec large = array("job-900", 9'000, 1);
+    large.need = {0.03, 0, 0.01};
+    if (seed % 4 == 0) world.submit(large);
+    world.run_until(kBegin);
+    for (std::size_t node = 0; node < 3; ++node) {
+      world.upgrade((node + seed) % 3, kDown);
+      // Not long enough for the former leader's head to empty itself.
+      if (node < 2) world.run_until(world.now() + kApart);
+    }
+    world.run_until(world.now() + kDown + 50 * static_cast<Time>(seed));
+    world.lower_limits();
+    world.run_until(world.now() + 200 * static_cast<Time>(seed));
+    world.kill(leader_of(world), 2'000);
+    world.run_until(world.now() + 20'000);
+    submit_mixed_jobs(world, 200, 20, seed);
+    for (std::size_t n = 0; n < 90; n += 2) world.cancel(job_id(n));
+    for (std::size_t n = 200; n < 220; n += 2) world.cancel(job_id(n));
+    world.run_until(world.now() + 380'000);
+    EXPECT_TRUE(world.checker().violations().empty())
+        << "seed " << seed << " " << world.checker().summary();
+    EXPECT_EQ(world.state().malformed, 0U) << seed;
+    EXPECT_TRUE(world.checker().unfinished_arrays().empty())
+        << "seed " << seed << " " << world.checker().unfinished_arrays().front();
+  }
+}
+
+// While one controller is of the version in production, gangs are turned away.
+TEST(Upgrade, GangsWaitUntilAllControllersAreNew) {
+  World world(upgrade_day(3));
+  world.run_until(2'000);
+  world.upgrade(1, kDown);
+  world.upgrade(2, kDown);
+  world.run_until(20'000);
+  world.kill(0, 8'000);
+  world.run_until(25'000);
+  int status = 0;
+  world.submit(gang("job-1", 3, 2, 10));
+  world.run_until(25'500);
+  world.ask_for("job-1", leader_of(world), UserOp::Submit, [&status](int s) { status = s; });
+  world.run_until(26'000);
+  EXPECT_EQ(status, 503);
+  world.upgrade(0, kDown);
+  world.run_until(65'000);
+  EXPECT_TRUE(world.checker().unfinished_arrays().empty());
+  EXPECT_GT(world.gang_starts("job-1"), 0U);
+  // What is known once holds, also where a controller can't be heard again.
+  for (std::size_t i = 0; i < 3; ++i) world.kill(i, i == 2 ? 60'000 : 1'000);
+  world.run_until(75'000);
+  world.submit(gang("job-2", 3, 2, 10));
+  world.run_until(100'000);
+  EXPECT_GT(world.gang_starts("job-2"), 0U);
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+}
+
+}  // namespace
+}  // namespace sailreel::sim
