--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -460,6 +460,10 @@
   JobSpec spec = gang("job-1", 3, 16, 10);
   spec.one_zone = true;
   world.submit(spec);
+  world.run_until(3'000);
+  std::map<std::string, std::size_t> zones;
+  for (const auto& [name, m] : world.cloud().machines) ++zones[m.zone];
+  EXPECT_GE(std::max(zones["za"], zones["zb"]), 3U);
   std::size_t most = 0;
   while (world.now() < 60'000) {
     world.run_until(world.now() + 100);
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -33,13 +33,17 @@
 
 // The former leader's head is three times as large as may be written now.
 TEST(LowerLimits, ALargeHeadIsDividedAndNothingOfItIsLost) {
-  CoreDriver driver(low_limits());
+  constexpr std::uint64_t kLeastOperations = 3;
+  Settings settings = low_limits();
+  settings.store.txn_ops = kLeastOperations;
+  CoreDriver driver(settings);
   std::vector<std::string> records;
   for (std::size_t n = 0; n < 60; ++n) records.push_back(encode_record(record_of(n, 8)));
   const std::string head = encode_head({1, 0, {}}, records);
   ASSERT_GT(head.size(), std::size_t{5} * 1024);
   driver.write(kHeadKey, head);
   lower_limits(driver);
+  driver.state().ops_limit = kLeastOperations;
   driver.run_for(4'000);
   EXPECT_TRUE(driver.core().leading());
   EXPECT_EQ(driver.state().malformed, 0U);
@@ -169,6 +173,8 @@
     world.run_until(world.now() + 600);
   }
   world.cloud().outage = false;
+  // All are taken in all the time, although nothing can be rented.
+  EXPECT_GE(world.submission_delays().size(), 58U);
   world.run_until(110'000);
   EXPECT_EQ(world.state().malformed, 0U);
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
