--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -128,6 +128,7 @@
   std::string record_text(Job& job, std::uint64_t seq);
   [[nodiscard]] std::size_t value_limit(double fill) const;
   void send_spill();
+  void log_round();
   void round_refused();
   [[nodiscard]] std::size_t operations_limit() const;
   [[nodiscard]] std::size_t head_bytes_of(const std::map<std::string, std::string>& tail) const;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -128,9 +128,27 @@
   dirty_jobs_ = std::move(postponed);
   take_waiters();
   round_open_ = true;
+  log_round();
   resolve_round();
 }
 
+// What a round writes, by the kind of key.
+void Core::log_round() {
+  std::size_t jobs = 0, machines = 0, other = 0;
+  for (const StateCall::Put& put : round_.call.puts) {
+    if (put.key.starts_with(kShardPrefix))
+      ++jobs;
+    else if (put.key.starts_with(kMachinesPrefix))
+      ++machines;
+    else
+      ++other;
+  }
+  log(Log::Level::Debug, "event=round seq=", round_.seq, " job_shards=", jobs,
+      " machine_shards=", machines, " other=", other + round_.call.deletes.size(),
+      " head_bytes=", round_.call.puts.empty() ? 0 : round_.call.puts.front().value.size(),
+      " changes=", round_.jobs.size(), " waiters=", round_.waiters.size());
+}
+
 // What a head with these records, and the open rentals, takes.
 std::size_t Core::head_bytes_of(const std::map<std::string, std::string>& tail) const {
   std::size_t bytes = rental_bytes();
