--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -143,7 +143,8 @@
   [[nodiscard]] bool small_pieces() const;
   bool add_bitmap(TransactionBuilder& transaction, Job& job);
   static bool erase_bitmap(TransactionBuilder& transaction, Job& job);
-  std::size_t flush_tail(TransactionBuilder& transaction);
+  std::size_t flush_tail(TransactionBuilder& transaction, std::size_t wanted);
+  bool put_shard(TransactionBuilder& transaction, std::size_t shard);
   std::size_t reserve_for(const std::string& id, const std::string& text);
   std::string text_for_shard(const std::string& id);
   void postpone_excess(std::map<std::string, Job*>& changed, std::vector<Job*>& postponed,
@@ -535,7 +536,7 @@
   };
   Round round_;
   bool round_open_ = false;
-  Time round_retry_ = kNever;
+  Time round_retry_ = kNever, round_ended_ = 0;
   /// Rounds that the state service found too large.
   unsigned refused_rounds_ = 0;
   std::vector<Waiter> waiting_next_;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -8,7 +8,10 @@
 namespace sailreel {
 namespace {
 /// The head keeps the latest changes while they are few; then they move to their shards.
-constexpr double kHeadFill = 0.6;
+constexpr double kHeadFill = 0.75;
+/// They move until the head is down to this. The longer they stay, the more changes of a job and of
+/// its neighbours in a shard are written at once.
+constexpr double kHeadLow = 0.45;
 /// What the conditions of a round take, at most.
 constexpr std::size_t kConditionBytes = 1024;
 /// What stands between and around the records of a value, and the fields of a rental.
@@ -25,6 +28,8 @@
 /// A round that no user waits for has room for at least so many writes beside its head: with none,
 /// it would write its head again and again, and get nowhere.
 constexpr std::size_t kLeastOperations = 2;
+/// Rounds that no user waits for are at least this part of a report's interval apart.
+constexpr Time kRoundsPerReport = 8;
 /// Images are written as long as this share of the burst is left.
 constexpr double kImageHintReserve = 0.75;
 }  // namespace
@@ -45,6 +50,9 @@
     return;
   }
   if (!in_command(clock_.now) || (!round_needed() && !image_hints_due())) return;
+  // What nobody waits for is gathered for a moment: each round writes the head anew.
+  if (waiting_next_.empty() && clock_.now < round_ended_ + report_interval() / kRoundsPerReport)
+    return;
   double needed = 1;
   if (waiting_next_.empty())
     needed += kLeastOperations + kBackgroundReserve * write_limiter_.burst();
@@ -112,7 +120,8 @@
   const bool full = head_bytes > value_limit(kValueFill);
   transaction.limit_operations(full ? most
                                     : std::min(most, std::max(allowed, transaction.operations())));
-  if (head_bytes > value_limit(kHeadFill)) head_bytes -= flush_tail(transaction);
+  if (head_bytes > value_limit(kHeadFill))
+    head_bytes -= flush_tail(transaction, head_bytes - value_limit(kHeadLow));
   if (head_bytes > value_limit(kValueFill)) postpone_excess(changed, postponed, head_bytes);
 
   std::vector<std::string> records;
@@ -174,7 +183,7 @@
   round_.spill = true;
   round_.seq = head_seq_;
   TransactionBuilder transaction(operations_limit(), kConditionBytes);
-  flush_tail(transaction);
+  flush_tail(transaction, SIZE_MAX);
   round_.call =
       std::move(transaction).finish({{kEpochKey, epoch_version_}, {kHeadKey, head_version_}});
   log(Log::Level::Info, "event=head_divided left=", round_.tail.size());
@@ -282,31 +291,22 @@
   return true;
 }
 
-// Moves what doesn't fit into the head to its shards, together with what lies there already.
-// Returns how many bytes of the head that frees.
-std::size_t Core::flush_tail(TransactionBuilder& transaction) {
+// Moves `wanted` bytes of the head, or as much as the transaction takes, to their shards, together
+// with what lies there already. Returns how many bytes of the head that frees.
+std::size_t Core::flush_tail(TransactionBuilder& transaction, std::size_t wanted) {
   std::map<std::size_t, std::vector<std::string>> by_shard;
   for (const auto& [id, text] : round_.tail)
     by_shard[shards_.place(id, reserve_for(id, text))].push_back(id);
+  // Those first that free most with one write.
+  std::vector<std::pair<std::size_t, std::size_t>> order;  // records of the head, and their shard
+  for (const auto& [shard, ids] : by_shard) order.emplace_back(ids.size(), shard);
+  std::stable_sort(order.begin(), order.end(),
+                   [](const auto& a, const auto& b) { return a.first > b.first; });
   std::size_t freed = 0;
-  for (const auto& [shard, ids] : by_shard) {
-    std::vector<std::string> records;
-    std::size_t bytes = kPunctuationBytes;
-    const std::set<std::string> jobs_in_shard = shards_.jobs_in(shard);
-    for (const std::string& id : jobs_in_shard) {
-      std::string text = text_for_shard(id);
-      if (text.empty()) continue;
-      shards_.set_reserve(id, reserve_for(id, text));
-      bytes += text.size() + 1;
-      records.push_back(std::move(text));
-    }
-    if (bytes > value_limit(kShardGrowthFill)) {
-      // It has outgrown its value: its jobs go elsewhere with their next change, these at once.
-      shards_.close(shard);
-      continue;
-    }
-    if (!transaction.put(shard_key(shard), encode_shard(records))) continue;
-    for (const std::string& id : ids) {
+  for (const auto& [count, shard] : order) {
+    if (freed >= wanted) break;
+    if (!put_shard(transaction, shard)) continue;
+    for (const std::string& id : by_shard[shard]) {
       freed += round_.tail[id].size() + 1;
       round_.tail.erase(id);
     }
@@ -314,6 +314,26 @@
   return freed;
 }
 
+// Writes a shard with all its jobs; false if it doesn't fit.
+bool Core::put_shard(TransactionBuilder& transaction, std::size_t shard) {
+  std::vector<std::string> records;
+  std::size_t bytes = kPunctuationBytes;
+  const std::set<std::string> jobs_in_shard = shards_.jobs_in(shard);
+  for (const std::string& id : jobs_in_shard) {
+    std::string text = text_for_shard(id);
+    if (text.empty()) continue;
+    shards_.set_reserve(id, reserve_for(id, text));
+    bytes += text.size() + 1;
+    records.push_back(std::move(text));
+  }
+  if (bytes > value_limit(kShardGrowthFill)) {
+    // It has outgrown its value: its jobs go elsewhere with their next change.
+    shards_.close(shard);
+    return false;
+  }
+  return transaction.put(shard_key(shard), encode_shard(records));
+}
+
 std::size_t Core::reserve_for(const std::string& id, const std::string& text) {
   const Job* job = tables_.job(id);
   return record_reserve(job == nullptr || job->record.final, text.size());
@@ -452,6 +472,7 @@
   Round r = std::move(round_);
   round_ = Round{};
   round_open_ = false;
+  round_ended_ = clock_.now;
   round_retry_ = kNever;
   tail_ = std::move(r.tail);
   if (r.spill) return;
