--- a/src/app/options.cpp
+++ b/src/app/options.cpp
@@ -39,6 +39,7 @@
   if (in.has_headroom_ratio()) out.headroom_ratio = in.headroom_ratio();
   if (in.has_idle_ratio()) out.idle_ratio = in.idle_ratio();
   if (in.has_state_share()) out.state_share = in.state_share();
+  if (in.has_write_share()) out.write_share = in.write_share();
   check_options(out);
   return out;
 }
--- a/src/protocol/settings.cpp
+++ b/src/protocol/settings.cpp
@@ -194,6 +194,7 @@
   range(o.headroom_ratio, 0.0, 1.0, "headroom_ratio");
   range(o.idle_ratio, 0.0, 100.0, "idle_ratio");
   range(o.state_share, 0.1, 1.0, "state_share");
+  range(o.write_share, 0.1, 1.0, "write_share");
 }
 
 }  // namespace sailreel
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -62,8 +62,10 @@
   double headroom_ratio = 0.20;
   /// How long a machine stays without work before it is returned, as a share of its boot time.
   double idle_ratio = 1.5;
-  /// Share of the state service's budgets that a leader uses.
+  /// Share of the state service's requests that a controller uses.
   double state_share = 0.7;
+  /// Share of its writes that a leader uses. The others write only when they claim the lease.
+  double write_share = 0.9;
 };
 
 class SettingsError : public std::runtime_error {
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -446,7 +446,7 @@
   plan.scale = 6;
   World world(plan);
   world.run_until(1'000);
-  for (int n = 0; n < 100; ++n) world.submit(service("job-" + std::to_string(n), 1));
+  for (int n = 0; n < 120; ++n) world.submit(service("job-" + std::to_string(n), 1));
   world.run_until(50'000);
   const int leader = world.leader();
   ASSERT_GE(leader, 0);
