Submissions and cancellations at a node without a way to the leader go through a sibling

Cause: with two zones apart for 20 s, users at nodes of one zone were turned away, although nodes of the third reach both. One more hop, marked in the frame's header (older versions ignore the bit and are not asked). A test plays it (simulated machines).

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -203,7 +203,7 @@
         const Origin origin{Origin::Kind::Peer, link, m.request.call};
         if (m.request.op != UserOp::Report)
           return feed(UserRequest{origin, m.request.op, std::move(m.request.id),
-                                  std::move(m.request.body)});
+                                  std::move(m.request.body), m.request.relay});
         auto report = decode_report(m.request.body);
         if (!report) return respond(origin, 400, encode_error("not a report"), 0);
         return feed(WorkerReport{origin, std::move(*report), std::move(m.request.body)});
--- a/src/coordination/actions.hpp
+++ b/src/coordination/actions.hpp
@@ -22,8 +22,9 @@
 struct UserRequest {
   Origin origin;
   UserOp op = UserOp::Query;
-  std::string id;    // empty for a submission
-  std::string body;  // a submission's
+  std::string id;      // empty for a submission
+  std::string body;    // a submission's
+  bool relay = false;  // of a sibling that has no way to the leader
 };
 struct WorkerReport {
   Origin origin;
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -95,6 +95,7 @@
   [[nodiscard]] Time cancel_wait() const;
   [[nodiscard]] bool stops_at_once(const Job& job) const;
   void refuse_cancel_waits(const std::string& id);
+  std::optional<std::size_t> relaying_sibling();
   void forward(const Origin& origin, UserOp op, const std::string& id, std::string body,
                std::size_t sibling, std::uint64_t token = 0);
   void peer_answer(std::size_t sibling, const PeerAnswer& answer);
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -22,19 +22,36 @@
     if (r.op == UserOp::Cancel) return lead_cancel(r);
     return;
   }
-  const int sibling = leader_sibling();
-  // A request is handed on once only: two nodes that take each other for the leader must not play
-  // ball with it.
-  if (sibling >= 0 && r.origin.kind == Origin::Kind::Local && forwarded_.size() < kMaxForwarded) {
+  // A request is handed on once, or once more where its first receiver has no way to the leader:
+  // two nodes that take each other for the leader must not play ball with it.
+  const bool may_forward =
+      (r.origin.kind == Origin::Kind::Local || r.relay) && forwarded_.size() < kMaxForwarded;
+  if (const int sibling = leader_sibling(); sibling >= 0 && may_forward) {
+    const auto leader = static_cast<std::size_t>(sibling);
     // An older version would place a gang in its own way.
-    if (r.op == UserOp::Submit &&
-        !sibling_views_[static_cast<std::size_t>(sibling)].understands_gangs &&
+    if (r.op == UserOp::Submit && !sibling_views_[leader].understands_gangs &&
         is_gang_submission(r.body))
       return refuse(r.origin, "gangs wait until all controllers are of this version");
-    return forward(r.origin, r.op, r.id, r.body, static_cast<std::size_t>(sibling));
+    return forward(r.origin, r.op, r.id, r.body, leader);
   }
-  if (r.op == UserOp::Query && r.origin.kind == Origin::Kind::Local) return look_up(r.origin, r.id);
-  refuse(r.origin, "no leader");
+  if (r.origin.kind != Origin::Kind::Local) return refuse(r.origin, "no leader");
+  if (r.op == UserOp::Query) return look_up(r.origin, r.id);
+  const std::optional<std::size_t> relay = relaying_sibling();
+  if (!relay || !may_forward) return refuse(r.origin, "no leader");
+  forward(r.origin, r.op, r.id, r.body, *relay);
+  std::get<SendPeer>(out_.back()).message.request.relay = true;
+}
+
+// A sibling that can be reached, and hears the leader. When two zones were apart, users at nodes of
+// one were turned away although a third zone's nodes reached both.
+std::optional<std::size_t> Core::relaying_sibling() {
+  std::vector<std::size_t> candidates;
+  for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
+    const SiblingView& v = sibling_views_[i];
+    if (in_contact(v) && v.hears_leader && v.understands_gangs) candidates.push_back(i);
+  }
+  if (candidates.empty()) return {};
+  return candidates[random_(static_cast<std::uint32_t>(candidates.size()))];
 }
 
 JobView Core::view(const Job& job) const {
@@ -158,7 +175,7 @@
                       token};
   PeerMessage m;
   m.kind = PeerMessage::Kind::Request;
-  m.request = {call, op, op == UserOp::Report ? std::string() : id, std::move(body)};
+  m.request = {call, op, op == UserOp::Report ? std::string() : id, std::move(body), false};
   out_.push_back(SendPeer{sibling, std::move(m)});
 }
 
--- a/src/protocol/peer_frames.cpp
+++ b/src/protocol/peer_frames.cpp
@@ -21,7 +21,7 @@
 struct FrameHeader {
   std::uint32_t magic;
   std::uint8_t version, kind;
-  std::uint16_t reserved;
+  std::uint16_t flags;   // 0 and not looked at in versions before gangs
   std::uint32_t length;  // of what follows
 };
 struct HeartbeatBody {
@@ -53,13 +53,16 @@
 /// An answer that may be passed on for ever.
 constexpr std::uint32_t kForEver = UINT32_MAX;
 
+/// Of the header.
+constexpr std::uint16_t kRelay = 1;
+
 constexpr std::uint8_t kLeading = 1, kHearsLeader = 2, kHolding = 4, kHearsWorkers = 8,
                        kWasAlone = 16, kUnderstandsGangs = 32;
 
 template <typename Body>
 std::string frame(PeerMessage::Kind kind, const Body& body, std::string_view a,
-                  std::string_view b = {}) {
-  const FrameHeader h{kMagic, kVersion, static_cast<std::uint8_t>(kind), 0,
+                  std::string_view b = {}, std::uint16_t flags = 0) {
+  const FrameHeader h{kMagic, kVersion, static_cast<std::uint8_t>(kind), flags,
                       static_cast<std::uint32_t>(sizeof(Body) + a.size() + b.size())};
   std::string out;
   out.reserve(sizeof h + h.length);
@@ -107,7 +110,7 @@
           payload.size() != std::size_t{b.id_length} + b.body_length)
         return false;
       m.request = {b.call, static_cast<UserOp>(b.op), std::string(payload.substr(0, b.id_length)),
-                   std::string(payload.substr(b.id_length))};
+                   std::string(payload.substr(b.id_length)), false};
       return true;
     }
     case PeerMessage::Kind::Answer: {
@@ -144,7 +147,7 @@
                    RequestBody{m.request.call, static_cast<std::uint8_t>(m.request.op),
                                static_cast<std::uint16_t>(m.request.id.size()),
                                static_cast<std::uint32_t>(m.request.body.size())},
-                   m.request.id, m.request.body);
+                   m.request.id, m.request.body, m.request.relay ? kRelay : 0);
     case PeerMessage::Kind::Answer:
       return frame(m.kind,
                    AnswerBody{m.answer.call, static_cast<std::uint16_t>(m.answer.status),
@@ -176,6 +179,7 @@
     broken_ = true;
     return {};
   }
+  m.request.relay = (h.flags & kRelay) != 0;
   used_ += sizeof h + h.length;
   return m;
 }
--- a/src/protocol/peer_frames.hpp
+++ b/src/protocol/peer_frames.hpp
@@ -35,6 +35,9 @@
   std::uint64_t call = 0;
   UserOp op = UserOp::Query;
   std::string id, body;
+  /// To be handed on once more if the receiver doesn't lead: the sender has no way to the leader.
+  /// Versions before gangs ignore it, and turn such a request away.
+  bool relay = false;
 };
 struct PeerAnswer {
   std::uint64_t call = 0;
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -210,5 +210,27 @@
   EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
 }
 
+// Two zones are apart: a node that can't reach the leader hands submissions and cancellations to
+// one that can, and users get their answers as ever.
+TEST(Answers, ANodeWithoutAWayToTheLeaderUsesASibling) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    World world(quiet(seed));
+    world.run_until(20'000);
+    const std::size_t lead = leader_of(world);
+    const std::size_t apart = (lead + 1 + seed % 2) % 3;
+    world.cut(node_name(lead), node_name(apart), 20'000, seed % 3 == 0);
+    world.run_until(23'000);
+    int submitted = 0, cancelled = 0;
+    world.submit_at(service("job-1", 1), apart, [&submitted](int s) { submitted = s; });
+    world.run_until(24'000);
+    EXPECT_EQ(submitted, 201) << seed;
+    world.ask_for("job-1", apart, UserOp::Cancel, [&cancelled](int s) { cancelled = s; });
+    world.run_until(25'000);
+    EXPECT_EQ(cancelled, 200) << seed;
+    EXPECT_EQ(leader_of(world), lead);
+    EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+  }
+}
+
 }  // namespace
 }  // namespace sailreel::sim
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -166,7 +166,7 @@
 TEST(PeerFrames, RoundTripInAnyPieces) {
   PeerMessage request;
   request.kind = PeerMessage::Kind::Request;
-  request.request = {77, UserOp::Submit, "job-1", std::string(60'000, 'x')};
+  request.request = {77, UserOp::Submit, "job-1", std::string(60'000, 'x'), true};
   PeerMessage answer;
   answer.kind = PeerMessage::Kind::Answer;
   answer.answer = {78, 503, 1, 2'500, "{}"};
@@ -197,6 +197,7 @@
   }
   ASSERT_EQ(out.size(), 4U);
   EXPECT_EQ(out[0].request.body.size(), 60'000U);
+  EXPECT_TRUE(out[0].request.relay);
   EXPECT_EQ(out[1].answer.status, 503);
   EXPECT_EQ(out[1].answer.valid_ms, 2'500U);
   EXPECT_FALSE(out[3].answer.valid_ms.has_value());
