--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -22,8 +22,8 @@
       write_limiter_(settings_.store.write_rps * options.write_share,
                      settings_.store.write_rps * options.write_share),
       cloud_limiter_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
-      sibling_views_(settings_.siblings.size()),
       incarnation_((std::uint64_t{random_()} << 32) | random_() | 1),
+      siblings_(settings_.siblings.size(), incarnation_, worker_lease(), keep_alive_span()),
       shards_(value_limit(kValueFill)) {
   nonce_ = (std::uint64_t{random_()} << 20) ^ random_();
 }
@@ -54,7 +54,7 @@
           else if (in.message.kind == PeerMessage::Kind::Answer)
             peer_answer(in.sibling, in.message.answer);
         } else if constexpr (std::is_same_v<T, PeerLost>) {
-          sibling_views_[in.sibling].leading = false;
+          siblings_.lost(in.sibling);
           for (auto& [call, f] : forwarded_)
             if (f.sibling == in.sibling) f.until = clock_.now;
           intake_tick();
@@ -88,9 +88,9 @@
   // Where the others are no better off, as in an outage of the state service, being taken off the
   // list only delays what comes after: users found no node for seconds after it was over.
   bool heard = false;
-  for (const SiblingView& v : sibling_views_) {
-    if (reaches_leader(v)) return false;
-    heard = heard || in_contact(v);
+  for (std::size_t i = 0; i < siblings_.size(); ++i) {
+    if (siblings_.reaches_leader(i, clock_.now)) return false;
+    heard = heard || siblings_.in_contact(i, clock_.now);
   }
   return heard;
 }
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -17,6 +17,7 @@
 #include "coordination/actions.hpp"
 #include "coordination/gang.hpp"
 #include "coordination/rate_limiter.hpp"
+#include "coordination/siblings.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
 #include "protocol/settings.hpp"
@@ -67,8 +68,6 @@
   [[nodiscard]] Time command_until() const { return lease_deadline_; }
   [[nodiscard]] Time report_interval() const { return ms(settings_.workers.report_s); }
   [[nodiscard]] Time worker_lease() const { return ms(settings_.workers.lease_s); }
-  /// A span on a worker's clock, as long as it may last on ours, and a little more.
-  [[nodiscard]] static Time with_drift(Time span) { return span + span / 500 + 50; }
 
   // election.cpp
   void election_tick();
@@ -83,8 +82,6 @@
   void abdicate();
   void peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat);
   void send_heartbeats();
-  [[nodiscard]] int leader_sibling() const;  // -1: unknown, or ourselves
-  [[nodiscard]] bool siblings_understand_gangs() const;
 
   // intake.cpp
   void user_request(const UserRequest& request);
@@ -203,23 +200,7 @@
   [[nodiscard]] std::size_t fetch_limit() const;
 
   // keepalive.cpp
-  struct SiblingView {
-    Time last_heartbeat = -kNever;
-    bool leading = false, hears_leader = false, holding = false, hears_workers = false;
-    bool understands_gangs = false;  // as its present incarnation says
-    std::uint64_t epoch = 0;
-    std::uint64_t incarnation = 0;  // 0: never heard
-    Time clock = 0;                 // its own, at its latest heartbeat
-    Time echo_at = -kNever;         // when the latest of our heartbeats left that it had by then
-    Time kept_alive_at = -kNever;   // when it last kept tasks alive by itself, at the latest
-    Time tried_at = -kNever;        // when a worker was last sent there although it hears none
-  };
   [[nodiscard]] Time keep_alive_span() const;
-  [[nodiscard]] Time contact_span() const;
-  [[nodiscard]] bool in_contact(const SiblingView& v) const;
-  [[nodiscard]] bool reaches_leader(const SiblingView& v) const;
-  void allow_keep_alive(std::uint64_t epoch, Time until);
-  [[nodiscard]] Time siblings_answered() const;
   [[nodiscard]] Time expiry(const Machine& m) const;
   void forward_report(const WorkerReport& in);
   bool redirect_to_own_zone(const WorkerReport& in);
@@ -456,13 +437,13 @@
   Time stand_back_until_ = 0;  // after an abdication
   std::string leader_name_;
   Time next_heartbeat_ = 0;
-  std::vector<SiblingView> sibling_views_;
   Time last_path_ = 0;
   const std::uint64_t incarnation_;  // of this process
+  SiblingTable siblings_;
 
   // keeping workers' tasks alive by ourselves: under which token, until when, and when we last did
-  std::uint64_t keep_alive_epoch_ = 0;
-  Time keep_alive_until_ = 0, kept_alive_at_ = -kNever;
+  KeepAlivePermit keep_alive_permit_;
+  Time kept_alive_at_ = -kNever;
   Time last_worker_report_ = -kNever;  // by ourselves
   std::unordered_map<std::string, Time> redirected_at_;
 
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -18,7 +18,7 @@
     if (now >= next_renew_) renew();
     return;
   }
-  if (leader_sibling() >= 0) last_path_ = now;
+  if (siblings_.leader(now)) last_path_ = now;
   if (role_ == Role::Follower && now >= campaign_at_) {
     campaign();
     return;
@@ -149,7 +149,7 @@
         epoch_ = epoch;
         epoch_version_ = r.revision;
         // The others' claims fail, but count against the limit all the same.
-        write_limiter_.spend(kClaimWrites * static_cast<double>(sibling_views_.size()), clock_.now);
+        write_limiter_.spend(kClaimWrites * static_cast<double>(siblings_.size()), clock_.now);
         lease_ = lease;
         const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
         lease_deadline_ = granted + ttl - ttl / 500 - 20;
@@ -235,7 +235,7 @@
   lookups_served_.clear();
   if (!led) return;
   // Workers that know of no other leader are kept alive for as long as if we still led.
-  allow_keep_alive(epoch_, lease_deadline_ + keep_alive_span());
+  keep_alive_permit_.allow(epoch_, lease_deadline_ + keep_alive_span());
   for (const Waiter& w : round_.waiters) refuse(w.origin, "leadership lost");
   for (const Waiter& w : waiting_next_) refuse(w.origin, "leadership lost");
   for (const auto& [id, waits] : cancel_waits_)
@@ -291,33 +291,10 @@
 }
 
 void Core::peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat) {
-  SiblingView& v = sibling_views_[sibling];
-  const Time now = clock_.now;
-  if (heartbeat.incarnation != v.incarnation) {
-    // What its former incarnation may have kept alive until it ended isn't in the new one's
-    // heartbeats.
-    if (v.incarnation != 0)
-      v.kept_alive_at =
-          std::max(v.kept_alive_at, std::min(now, v.last_heartbeat + keep_alive_span()));
-    v.incarnation = heartbeat.incarnation;
-  } else if (heartbeat.clock < v.clock) {
-    return;  // an older one, over another connection
-  }
-  v.clock = heartbeat.clock;
-  v.last_heartbeat = now;
-  v.leading = heartbeat.leading;
-  v.epoch = heartbeat.epoch;
-  v.hears_leader = heartbeat.hears_leader;
-  v.holding = heartbeat.holding;
-  v.hears_workers = heartbeat.hears_workers;
-  v.understands_gangs = heartbeat.understands_gangs;
-  if (heartbeat.kept_alive_ms)
-    v.kept_alive_at = std::max(v.kept_alive_at, now - Time{*heartbeat.kept_alive_ms});
-  if (heartbeat.acknowledged_incarnation == incarnation_) {
-    v.echo_at = std::max(v.echo_at, Time{heartbeat.acknowledged_clock});
-    if (heartbeat.leading)
-      allow_keep_alive(heartbeat.epoch, heartbeat.acknowledged_clock + Time{heartbeat.keep_ms});
-  }
+  if (!siblings_.take(sibling, heartbeat, clock_.now)) return;
+  if (heartbeat.leading && heartbeat.acknowledged_incarnation == incarnation_)
+    keep_alive_permit_.allow(heartbeat.epoch,
+                             heartbeat.acknowledged_clock + Time{heartbeat.keep_ms});
   if (role_ == Role::Leader && heartbeat.leading && heartbeat.epoch > epoch_)
     step_down("a sibling leads under a higher epoch");
   else if (role_ == Role::Follower)
@@ -333,7 +310,7 @@
   b.node = settings_.name;
   b.epoch = epoch_;
   b.leading = in_command(now);
-  b.hears_leader = leader_sibling() >= 0;
+  b.hears_leader = siblings_.leader(now).has_value();
   b.holding = role_ == Role::Leader && now < lease_deadline_ + keep_alive_span();
   b.hears_workers = now - last_worker_report_ < silent_after();
   b.understands_gangs = true;
@@ -342,7 +319,7 @@
   if (kept_alive_at_ >= 0)
     b.kept_alive_ms = static_cast<std::uint32_t>(std::min<Time>(now - kept_alive_at_, UINT32_MAX));
   for (std::size_t i = 0; i < settings_.siblings.size(); ++i) {
-    const SiblingView& v = sibling_views_[i];
+    const SiblingView& v = siblings_[i];
     b.acknowledged_incarnation = v.incarnation;
     b.acknowledged_clock = v.clock;
     b.keep_ms = b.leading && v.incarnation != 0 ? static_cast<std::uint32_t>(keep_alive_span()) : 0;
@@ -350,22 +327,4 @@
   }
 }
 
-// Every controller that the settings name has said so. One that ended since comes back with the
-// same version or a later one.
-bool Core::siblings_understand_gangs() const {
-  return std::all_of(sibling_views_.begin(), sibling_views_.end(),
-                     [](const SiblingView& v) { return v.understands_gangs; });
-}
-
-int Core::leader_sibling() const {
-  int best = -1;
-  for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
-    const SiblingView& v = sibling_views_[i];
-    if (v.leading && in_contact(v) &&
-        (best < 0 || v.epoch > sibling_views_[static_cast<std::size_t>(best)].epoch))
-      best = static_cast<int>(i);
-  }
-  return best;
-}
-
 }  // namespace sailreel
--- a/src/coordination/intake.cpp
+++ b/src/coordination/intake.cpp
@@ -26,13 +26,12 @@
   // two nodes that take each other for the leader must not play ball with it.
   const bool may_forward =
       (r.origin.kind == Origin::Kind::Local || r.relay) && forwarded_.size() < kMaxForwarded;
-  if (const int sibling = leader_sibling(); sibling >= 0 && may_forward) {
-    const auto leader = static_cast<std::size_t>(sibling);
+  if (const auto leader = siblings_.leader(clock_.now); leader && may_forward) {
     // An older version would place a gang in its own way.
-    if (r.op == UserOp::Submit && !sibling_views_[leader].understands_gangs &&
+    if (r.op == UserOp::Submit && !siblings_[*leader].understands_gangs &&
         is_gang_submission(r.body))
       return refuse(r.origin, "gangs wait until all controllers are of this version");
-    return forward(r.origin, r.op, r.id, r.body, leader);
+    return forward(r.origin, r.op, r.id, r.body, *leader);
   }
   if (r.origin.kind != Origin::Kind::Local) return refuse(r.origin, "no leader");
   if (r.op == UserOp::Query) return look_up(r.origin, r.id);
@@ -45,11 +44,7 @@
 // A sibling that can be reached, and hears the leader. When two zones were apart, users at nodes of
 // one were turned away although a third zone's nodes reached both.
 std::optional<std::size_t> Core::relaying_sibling() {
-  std::vector<std::size_t> candidates;
-  for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
-    const SiblingView& v = sibling_views_[i];
-    if (in_contact(v) && v.hears_leader && v.understands_gangs) candidates.push_back(i);
-  }
+  const std::vector<std::size_t> candidates = siblings_.relays(clock_.now);
   if (candidates.empty()) return {};
   return candidates[random_(static_cast<std::uint32_t>(candidates.size()))];
 }
@@ -94,7 +89,8 @@
   record.submitted_wall_ms = clock_.wall_ms;
   // One round less before its start: a gang's aim is a matter of seconds.
   if (record.spec.kind == JobKind::Gang) record.started = record.spec.tasks;
-  if (head_bytes_of({{record.spec.id, encode_record(record)}}) > value_limit(kValueFill))
+  // The head gives it to a shard at once if it is large itself.
+  if (record_reserve(false, encode_record(record).size()) > value_limit(kValueFill))
     return answer(r.origin, 422, encode_error("its description is too large to be kept"));
   Job& job = tables_.add_job(std::move(record));
   job.accepted = clock_.now;
--- a/src/coordination/keepalive.cpp
+++ b/src/coordination/keepalive.cpp
@@ -17,44 +17,11 @@
 
 Time Core::keep_alive_span() const { return kKeepLeases * worker_lease(); }
 
-// Heartbeats come a thirtieth of a lease apart; a sibling whose echo of ours is older than this may
-// have lost us.
-Time Core::contact_span() const { return worker_lease() / 10; }
-
-bool Core::in_contact(const SiblingView& v) const {
-  return clock_.now - v.last_heartbeat < worker_lease() / 8;
-}
-
-bool Core::reaches_leader(const SiblingView& v) const {
-  return in_contact(v) && (v.leading || v.hears_leader);
-}
-
-void Core::allow_keep_alive(std::uint64_t epoch, Time until) {
-  if (epoch < keep_alive_epoch_) return;
-  if (epoch > keep_alive_epoch_) keep_alive_until_ = 0;
-  keep_alive_epoch_ = epoch;
-  keep_alive_until_ = std::max(keep_alive_until_, until);
-}
-
-// The latest moment at which a sibling may have answered a report by itself, as far as it matters:
-// one that had our heartbeat within the contact span said when it last did; one that we have lost
-// may go on for as long as our last answer to its heartbeats allowed.
-Time Core::siblings_answered() const {
-  Time latest = -kNever;
-  for (const SiblingView& v : sibling_views_) {
-    if (v.incarnation == 0) continue;
-    latest = std::max(latest, v.kept_alive_at);
-    if (clock_.now - v.echo_at > contact_span())
-      latest = std::max(latest, v.last_heartbeat + with_drift(keep_alive_span()));
-  }
-  return latest;
-}
-
 // The moment by which the tasks on a machine have surely ended, unless it is answered again. What
 // siblings say holds as of the contact span ago: a lease has to have run out by then.
 Time Core::expiry(const Machine& m) const {
-  const Time last = std::max(m.answered, siblings_answered());
-  const Time ours = last + with_drift(worker_lease()) + contact_span();
+  const Time last = std::max(m.answered, siblings_.latest_answer(clock_.now));
+  const Time ours = last + with_drift(worker_lease()) + siblings_.contact_span();
   // Until the worker has seen our token, a former leader's answers may still renew its lease, and
   // so may those of the nodes that heard that leader.
   return m.reported ? ours : std::max(ours, fence_at_);
@@ -65,14 +32,12 @@
 void Core::forward_report(const WorkerReport& in) {
   if (in.origin.kind == Origin::Kind::Peer)
     return answer(in.origin, 503, encode_error("no leader"));
-  int sibling = leader_sibling();
+  std::optional<std::size_t> sibling = siblings_.leader(clock_.now);
   // A leader whose lease may have lapsed still keeps tasks alive.
-  for (std::size_t i = 0; sibling < 0 && i < sibling_views_.size(); ++i)
-    if (sibling_views_[i].holding && in_contact(sibling_views_[i])) sibling = static_cast<int>(i);
-  if (sibling < 0) return keep_alive(in.origin, in.report.machine, in.report.token, true);
+  if (!sibling) sibling = siblings_.holding(clock_.now);
+  if (!sibling) return keep_alive(in.origin, in.report.machine, in.report.token, true);
   if (!redirect_to_own_zone(in))
-    forward(in.origin, UserOp::Report, in.report.machine, in.raw, static_cast<std::size_t>(sibling),
-            in.report.token);
+    forward(in.origin, UserOp::Report, in.report.machine, in.raw, *sibling, in.report.token);
 }
 
 // Sends a worker to a node of its own zone. When a zone was cut off, workers that reported to nodes
@@ -93,16 +58,16 @@
 std::optional<std::size_t> Core::sibling_for_zone(const std::string& zone) {
   std::vector<std::size_t> hearing;
   std::optional<std::size_t> untried;
-  for (std::size_t i = 0; i < sibling_views_.size(); ++i) {
-    SiblingView& v = sibling_views_[i];
-    if (settings_.siblings[i].zone != zone || !reaches_leader(v)) continue;
+  for (std::size_t i = 0; i < siblings_.size(); ++i) {
+    const SiblingView& v = siblings_[i];
+    if (settings_.siblings[i].zone != zone || !siblings_.reaches_leader(i, clock_.now)) continue;
     if (v.hears_workers)
       hearing.push_back(i);
     else if (clock_.now - v.tried_at >= kRedirectLeases * worker_lease())
       untried = i;
   }
   if (!hearing.empty()) return hearing[random_(static_cast<std::uint32_t>(hearing.size()))];
-  if (untried) sibling_views_[*untried].tried_at = clock_.now;
+  if (untried) siblings_.tried(*untried, clock_.now);
   return untried;
 }
 
@@ -125,17 +90,18 @@
 // the node before us: if that can't be reached, the worker comes back to us next.
 void Core::keep_alive(const Origin& origin, const std::string& machine, std::uint64_t token,
                       bool may_redirect) {
-  if (clock_.now >= keep_alive_until_ || token != keep_alive_epoch_)
+  if (!keep_alive_permit_.valid(token, clock_.now))
     return answer(origin, 503, encode_error("no leader"));
   if (may_redirect && !was_redirected(machine, worker_lease())) {
-    for (std::size_t i = 0; i < sibling_views_.size(); ++i)
-      if (reaches_leader(sibling_views_[i])) return redirect_worker(origin, machine, i);
+    for (std::size_t i = 0; i < siblings_.size(); ++i)
+      if (siblings_.reaches_leader(i, clock_.now)) return redirect_worker(origin, machine, i);
     if (!settings_.siblings.empty()) return redirect_worker(origin, machine, node_before());
   }
   if (clock_.now - kept_alive_at_ > worker_lease())
-    log(Log::Level::Info, "event=keeps_alive for_ms=", keep_alive_until_ - clock_.now);
+    log(Log::Level::Info, "event=keep_alive for_ms=", keep_alive_permit_.until() - clock_.now);
   kept_alive_at_ = clock_.now;
-  answer(origin, 200, encode_report_answer(keep_alive_epoch_, {}), 0, keep_alive_until_);
+  answer(origin, 200, encode_report_answer(keep_alive_permit_.epoch(), {}), 0,
+         keep_alive_permit_.until());
 }
 
 // The sibling that workers try just before us: they go by the nodes' numbers, the last of which the
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -502,10 +502,9 @@
   // lease while every task died (recorded incident on tbilisi-listings). Another may still reach
   // them. Where no sibling hears us either, a few workers that still come through change nothing of
   // that.
-  const bool alone =
-      std::none_of(sibling_views_.begin(), sibling_views_.end(), [&](const SiblingView& v) {
-        return v.hears_leader && now - v.last_heartbeat <= unheard_after;
-      });
+  const bool alone = std::none_of(siblings_.begin(), siblings_.end(), [&](const SiblingView& v) {
+    return v.hears_leader && now - v.last_heartbeat <= unheard_after;
+  });
   if (in_command(now) && !settings_.siblings.empty() && up > 1 &&
       now - led_since_ > unheard_after && (fresh == 0 || (alone && fresh * 4 <= up)))
     return abdicate();
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 bool Core::round_needed() const {
-  return (!features_written_ && siblings_understand_gangs()) || !dirty_jobs_.empty() ||
+  return (!features_written_ && siblings_.all_understand_gangs()) || !dirty_jobs_.empty() ||
          !dirty_machine_shards_.empty() || rentals_dirty_ || !waiting_next_.empty() ||
          !finished_next_.empty();
 }
@@ -204,7 +204,7 @@
 // Once every controller understands gangs, that is written down: a later leader need not hear all
 // of them again.
 void Core::add_features(TransactionBuilder& transaction) {
-  if (features_written_ || !siblings_understand_gangs()) return;
+  if (features_written_ || !siblings_.all_understand_gangs()) return;
   round_.features = transaction.put(kFeaturesKey, encode_features({.gangs = true}));
 }
 
@@ -299,6 +299,7 @@
     by_shard[shards_.place(id, reserve_for(id, text))].push_back(id);
   // Those first that free most with one write.
   std::vector<std::pair<std::size_t, std::size_t>> order;  // records of the head, and their shard
+  order.reserve(by_shard.size());
   for (const auto& [shard, ids] : by_shard) order.emplace_back(ids.size(), shard);
   std::stable_sort(order.begin(), order.end(),
                    [](const auto& a, const auto& b) { return a.first > b.first; });
--- /dev/null
+++ b/src/coordination/siblings.cpp
@@ -0,0 +1,90 @@
+#include "coordination/siblings.hpp"
+
+#include <algorithm>
+
+namespace sailreel {
+
+bool SiblingTable::take(std::size_t sibling, const PeerHeartbeat& heartbeat, Time now) {
+  SiblingView& v = views_[sibling];
+  if (heartbeat.incarnation != v.incarnation) {
+    // What its former incarnation may have kept alive until it ended isn't in the new one's
+    // heartbeats.
+    if (v.incarnation != 0)
+      v.kept_alive_at =
+          std::max(v.kept_alive_at, std::min(now, v.last_heartbeat + keep_alive_span_));
+    v.incarnation = heartbeat.incarnation;
+  } else if (heartbeat.clock < v.clock) {
+    return false;  // over another connection
+  }
+  v.clock = heartbeat.clock;
+  v.last_heartbeat = now;
+  v.leading = heartbeat.leading;
+  v.epoch = heartbeat.epoch;
+  v.hears_leader = heartbeat.hears_leader;
+  v.holding = heartbeat.holding;
+  v.hears_workers = heartbeat.hears_workers;
+  v.understands_gangs = heartbeat.understands_gangs;
+  if (heartbeat.kept_alive_ms)
+    v.kept_alive_at = std::max(v.kept_alive_at, now - Time{*heartbeat.kept_alive_ms});
+  if (heartbeat.acknowledged_incarnation == own_incarnation_)
+    v.echo_at = std::max(v.echo_at, Time{heartbeat.acknowledged_clock});
+  return true;
+}
+
+bool SiblingTable::in_contact(std::size_t sibling, Time now) const {
+  return now - views_[sibling].last_heartbeat < worker_lease_ / 8;
+}
+
+bool SiblingTable::reaches_leader(std::size_t sibling, Time now) const {
+  const SiblingView& v = views_[sibling];
+  return in_contact(sibling, now) && (v.leading || v.hears_leader);
+}
+
+std::optional<std::size_t> SiblingTable::leader(Time now) const {
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < views_.size(); ++i)
+    if (views_[i].leading && in_contact(i, now) && (!best || views_[i].epoch > views_[*best].epoch))
+      best = i;
+  return best;
+}
+
+std::optional<std::size_t> SiblingTable::holding(Time now) const {
+  for (std::size_t i = 0; i < views_.size(); ++i)
+    if (views_[i].holding && in_contact(i, now)) return i;
+  return {};
+}
+
+std::vector<std::size_t> SiblingTable::relays(Time now) const {
+  std::vector<std::size_t> out;
+  for (std::size_t i = 0; i < views_.size(); ++i)
+    if (in_contact(i, now) && views_[i].hears_leader && views_[i].understands_gangs)
+      out.push_back(i);
+  return out;
+}
+
+bool SiblingTable::all_understand_gangs() const {
+  return std::all_of(views_.begin(), views_.end(),
+                     [](const SiblingView& v) { return v.understands_gangs; });
+}
+
+// As far as it matters: one that had our heartbeat within the contact span said when it last did;
+// one that we have lost may go on for as long as our last answer to its heartbeats allowed.
+Time SiblingTable::latest_answer(Time now) const {
+  Time latest = -kNever;
+  for (const SiblingView& v : views_) {
+    if (v.incarnation == 0) continue;
+    latest = std::max(latest, v.kept_alive_at);
+    if (now - v.echo_at > contact_span())
+      latest = std::max(latest, v.last_heartbeat + with_drift(keep_alive_span_));
+  }
+  return latest;
+}
+
+void KeepAlivePermit::allow(std::uint64_t epoch, Time until) {
+  if (epoch < epoch_) return;
+  if (epoch > epoch_) until_ = 0;
+  epoch_ = epoch;
+  until_ = std::max(until_, until);
+}
+
+}  // namespace sailreel
--- /dev/null
+++ b/src/coordination/siblings.hpp
@@ -0,0 +1,93 @@
+// What this controller knows of the others from their heartbeats.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "protocol/peer_frames.hpp"
+
+namespace sailreel {
+
+/// A span on another machine's clock, as long as it may last on ours, and a little more.
+constexpr Time with_drift(Time span) { return span + span / 500 + 50; }
+
+/// One of the other controllers, as of its latest heartbeat.
+struct SiblingView {
+  Time last_heartbeat = -kNever;
+  bool leading = false, hears_leader = false, holding = false, hears_workers = false;
+  bool understands_gangs = false;
+  std::uint64_t epoch = 0;
+  std::uint64_t incarnation = 0;  // 0: never heard
+  Time clock = 0;                 // its own, at its latest heartbeat
+  Time echo_at = -kNever;         // when the latest of our heartbeats left that it had by then
+  Time kept_alive_at = -kNever;   // when it last kept tasks alive by itself, at the latest
+  Time tried_at = -kNever;        // when a worker was last sent there although it hears none
+};
+
+/// All other controllers, in the order of the settings.
+class SiblingTable {
+ public:
+  /// `keep_alive_span`: how long a controller that has lost the leader keeps tasks alive by itself.
+  SiblingTable(std::size_t count, std::uint64_t own_incarnation, Time worker_lease,
+               Time keep_alive_span)
+      : views_(count),
+        own_incarnation_(own_incarnation),
+        worker_lease_(worker_lease),
+        keep_alive_span_(keep_alive_span) {}
+
+  /// Takes a heartbeat in; false if it is older than one that came before.
+  bool take(std::size_t sibling, const PeerHeartbeat& heartbeat, Time now);
+  /// The link to it has broken: it doesn't lead as far as we know.
+  void lost(std::size_t sibling) { views_[sibling].leading = false; }
+  /// A worker was sent to it although it hears none yet.
+  void tried(std::size_t sibling, Time now) { views_[sibling].tried_at = now; }
+
+  [[nodiscard]] std::size_t size() const { return views_.size(); }
+  [[nodiscard]] const SiblingView& operator[](std::size_t sibling) const { return views_[sibling]; }
+  [[nodiscard]] auto begin() const { return views_.begin(); }
+  [[nodiscard]] auto end() const { return views_.end(); }
+
+  /// Heartbeats come a thirtieth of a lease apart; a sibling whose echo of ours is older than this
+  /// may have lost us.
+  [[nodiscard]] Time contact_span() const { return worker_lease_ / 10; }
+  [[nodiscard]] bool in_contact(std::size_t sibling, Time now) const;
+  /// It leads or hears the leader, and we hear it.
+  [[nodiscard]] bool reaches_leader(std::size_t sibling, Time now) const;
+  /// The one that leads under the highest epoch; empty: unknown, or ourselves.
+  [[nodiscard]] std::optional<std::size_t> leader(Time now) const;
+  /// A leader whose lease may have lapsed, and that still answers reports.
+  [[nodiscard]] std::optional<std::size_t> holding(Time now) const;
+  /// Those that can hand a request on to the leader for us.
+  [[nodiscard]] std::vector<std::size_t> relays(Time now) const;
+  /// Every controller that the settings name has said so. One that ended since comes back with the
+  /// same version or a later one.
+  [[nodiscard]] bool all_understand_gangs() const;
+  /// The latest moment at which a sibling may have answered a report by itself.
+  [[nodiscard]] Time latest_answer(Time now) const;
+
+ private:
+  std::vector<SiblingView> views_;
+  std::uint64_t own_incarnation_;
+  Time worker_lease_, keep_alive_span_;
+};
+
+/// Under which token, and until when, this controller may keep workers' tasks alive by itself.
+class KeepAlivePermit {
+ public:
+  /// Extends it; what is said of an older epoch counts no more.
+  void allow(std::uint64_t epoch, Time until);
+  [[nodiscard]] bool valid(std::uint64_t token, Time now) const {
+    return now < until_ && token == epoch_;
+  }
+  [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+  [[nodiscard]] Time until() const { return until_; }
+
+ private:
+  std::uint64_t epoch_ = 0;
+  Time until_ = 0;
+};
+
+}  // namespace sailreel
--- a/src/protocol/worker_codec.cpp
+++ b/src/protocol/worker_codec.cpp
@@ -18,6 +18,40 @@
   return true;
 }
 
+// A state that isn't known is one of before the task runs.
+RunState decode_state(std::string_view word) {
+  if (word == "running") return RunState::Running;
+  if (word == "gathering") return RunState::Waiting;
+  if (word == "flushing") return RunState::Saving;
+  if (word == "ended") return RunState::Exited;
+  return RunState::Fetching;
+}
+
+ExitCause decode_cause(std::string_view word) {
+  if (word == "done") return ExitCause::Done;
+  if (word == "stopped") return ExitCause::Stopped;
+  if (word == "no_room") return ExitCause::NoRoom;
+  if (word == "busy") return ExitCause::Busy;
+  if (word == "unknown") return ExitCause::Unknown;
+  if (word == "mates_gone") return ExitCause::PeersGone;
+  if (word == "incomplete") return ExitCause::Incomplete;
+  return ExitCause::Error;
+}
+
+std::optional<ReportedTask> decode_task(const json::Value& item) {
+  ReportedTask task;
+  std::string name, state, cause;
+  if (!item.IsObject() || !json::get(item, "hand", name) || !parse_task(name, task.key) ||
+      !json::get(item, "launch", task.attempt) || !json::get(item, "heading", state))
+    return {};
+  task.state = decode_state(state);
+  if (task.state != RunState::Exited) return task;
+  json::get(item, "wake", cause);
+  task.cause = decode_cause(cause);
+  json::get(item, "kept", task.saved);
+  return task;
+}
+
 void write_commands(json::Writer& w, const std::vector<Command>& commands) {
   w.Key("orders");
   w.StartArray();
@@ -56,33 +90,10 @@
   if (tasks == nullptr) return r;
   if (!tasks->IsArray()) return {};
   r.tasks.reserve(tasks->Size());
-  std::string text, state, cause;
   for (const auto& item : tasks->GetArray()) {
-    ReportedTask t;
-    if (!item.IsObject() || !json::get(item, "hand", text) || !parse_task(text, t.key) ||
-        !json::get(item, "launch", t.attempt) || !json::get(item, "heading", state))
-      return {};
-    if (state == "running") {
-      t.state = RunState::Running;
-    } else if (state == "gathering") {
-      t.state = RunState::Waiting;
-    } else if (state == "flushing") {
-      t.state = RunState::Saving;
-    } else if (state == "ended") {
-      t.state = RunState::Exited;
-      t.cause = ExitCause::Error;
-      if (json::get(item, "wake", cause)) {
-        if (cause == "done") t.cause = ExitCause::Done;
-        if (cause == "stopped") t.cause = ExitCause::Stopped;
-        if (cause == "no_room") t.cause = ExitCause::NoRoom;
-        if (cause == "busy") t.cause = ExitCause::Busy;
-        if (cause == "unknown") t.cause = ExitCause::Unknown;
-        if (cause == "mates_gone") t.cause = ExitCause::PeersGone;
-        if (cause == "incomplete") t.cause = ExitCause::Incomplete;
-      }
-      json::get(item, "kept", t.saved);
-    }
-    r.tasks.push_back(std::move(t));
+    auto task = decode_task(item);
+    if (!task) return {};
+    r.tasks.push_back(std::move(*task));
   }
   return r;
 }
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -157,6 +157,28 @@
   EXPECT_EQ(driver.submit(submission(spec)), 201);
 }
 
+// Names as long as they may be: more than the head has room for beside the rest.
+TEST(LowerLimits, ALargeDescriptionThatFitsAValueIsTaken) {
+  CoreDriver driver(low_limits());
+  driver.set_types({sample_type()});
+  driver.run_for(500);
+  lower_limits(driver);
+  driver.run_for(2'500);
+  JobSpec spec = array("job-1", 512, 30);
+  spec.job_class = std::string(200, 'c');
+  spec.image = std::string(200, 'i');
+  spec.any_type = false;
+  spec.types = {"box"};
+  for (int n = 0; n < 8; ++n) spec.types.push_back(std::string(100, 't') + std::to_string(n));
+  for (std::size_t n = 1; n < 6; ++n) {
+    spec.id = job_id(n);
+    driver.submit(submission(spec));
+    driver.run_for(1'000);
+  }
+  EXPECT_EQ(driver.state().malformed, 0U);
+  EXPECT_EQ(driver.checkpoint().jobs.size(), 5U);
+}
+
 // While the cloud doesn't answer, requests to rent pile up; they lie in the head.
 TEST(LowerLimits, OpenRentalsNeverOutgrowTheHead) {
   DayPlan plan = quiet(8);
--- a/tests/sim/workers.cpp
+++ b/tests/sim/workers.cpp
@@ -245,6 +245,24 @@
   w.next_report = now_ + 1000;
 }
 
+void World::stop_work(Worker& w, WorkTask& t, const Command& c) {
+  if (t.report.state == RunState::Exited) return;
+  const User* user = user_of(c.key.job);
+  if (is_gang(user)) return stop_gang_task(t, *user, c.grace_s, w);
+  const bool saves = t.report.state == RunState::Running && user != nullptr &&
+                     user->spec.checkpoint_s > 0 && c.grace_s >= user->spec.save_s;
+  if (saves) {
+    t.report.state = RunState::Saving;
+    t.exits_at = now_ + ms(user->spec.save_s);
+  } else if (t.report.state != RunState::Saving || c.grace_s <= 0) {
+    if (t.on) ended(c.key, w.machine.name, false);
+    t.on = false;
+    t.report.state = RunState::Exited;
+    t.report.cause = ExitCause::Stopped;
+  }
+  w.changed = true;
+}
+
 void World::obey(Worker& w, const Command& c) {
   if (on_command) on_command(w.machine.name, c);
   auto& list = w.tasks[{c.key.job, c.key.index}];
@@ -285,21 +303,7 @@
       return;
     }
     case Command::Op::Stop: {
-      if (same == list.end() || same->report.state == RunState::Exited) return;
-      const User* user = user_of(c.key.job);
-      if (is_gang(user)) return stop_gang_task(*same, *user, c.grace_s, w);
-      const bool saves = same->report.state == RunState::Running && user != nullptr &&
-                         user->spec.checkpoint_s > 0 && c.grace_s >= user->spec.save_s;
-      if (saves) {
-        same->report.state = RunState::Saving;
-        same->exits_at = now_ + ms(user->spec.save_s);
-      } else if (same->report.state != RunState::Saving || c.grace_s <= 0) {
-        if (same->on) ended(c.key, w.machine.name, false);
-        same->on = false;
-        same->report.state = RunState::Exited;
-        same->report.cause = ExitCause::Stopped;
-      }
-      w.changed = true;
+      if (same != list.end()) stop_work(w, *same, c);
       return;
     }
     case Command::Op::Forget:
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -331,8 +331,7 @@
     const PeerRequest& request = message.request;
     const Origin origin{Origin::Kind::Peer, link, request.call};
     if (request.op != UserOp::Report)
-      return feed(to,
-                  UserRequest{origin, request.op, request.id, request.body, request.relay});
+      return feed(to, UserRequest{origin, request.op, request.id, request.body, request.relay});
     if (auto report = decode_report(request.body))
       feed(to, WorkerReport{origin, *report, request.body});
     return;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -247,6 +247,7 @@
   void send_report(Worker& w);
   Report make_report(Worker& w);
   void obey(Worker& w, const Command& c);
+  void stop_work(Worker& w, WorkTask& t, const Command& c);
   void lapse(Worker& w);
   void ended(const TaskKey& key, const std::string& machine, bool completed);
   void take_answer(Worker& w, std::uint64_t flight, Time sent, std::uint64_t session, int status,
