--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -14,8 +14,8 @@
   }
 }
 
-// Meeting: a transaction is carried out at once and only its answer is lost, while other nodes read
-// what it wrote; users ask at all nodes. Seen on simulated machines: the leader went on saying
+// Combination: a transaction is carried out at once and only its answer is lost, while other nodes
+// read what it wrote; users ask at all nodes. Seen on simulated machines: the leader went on saying
 // "running" of jobs that a node without a way to it had read to be over.
 TEST(Answers, ARoundInDoubtIsNotAnsweredInItsOldForm) {
   constexpr std::size_t kJobs = 12;
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -16,8 +16,8 @@
   EXPECT_EQ(world.state().malformed, 0U);
 }
 
-// Meeting: one-task jobs come four a second for minutes, a quarter of them cancelled; the leader
-// ends in the middle of it.
+// Combination: one-task jobs come four a second for minutes, a quarter of them cancelled; the
+// leader ends in the middle of it.
 TEST(Capacity, OneTaskJobsFourASecondForMinutes) {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     DayPlan plan = quiet(seed + 200);
@@ -43,8 +43,8 @@
   }
 }
 
-// Meeting: more work than room, urgent and not, over slow links; the largest arrays have to begin
-// all the same.
+// Combination: more work than room, urgent and not, over slow links; the largest arrays have to
+// begin all the same.
 TEST(Capacity, MoreWorkThanRoomOverSlowLinks) {
   for (std::uint64_t seed = 1; seed <= 4; ++seed) {
     DayPlan plan = quiet(seed + 300);
@@ -248,7 +248,7 @@
   }
 }
 
-// Meeting: jobs bound to one zone, arrays and gangs of replicas too, lose machines of it.
+// Combination: jobs bound to one zone, arrays and gangs of replicas too, lose machines of it.
 TEST(Capacity, JobsBoundToAZoneLoseMachines) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     DayPlan plan = quiet(seed + 400);
@@ -284,8 +284,8 @@
   }
 }
 
-// Meeting: a zone with workers and a controller is cut off for longer than a lease, and jobs are
-// cancelled on both sides of the cut.
+// Combination: a zone with workers and a controller is cut off for longer than a lease, and jobs
+// are cancelled on both sides of the cut.
 TEST(Capacity, AZoneCutOffForLongerThanALease) {
   for (std::uint64_t seed = 1; seed <= 6; ++seed) {
     DayPlan plan = quiet(seed + 500);
@@ -310,7 +310,7 @@
   }
 }
 
-// Meeting: workers can't open connections to any controller, while direct commands still reach
+// Combination: workers can't open connections to any controller, while direct commands still reach
 // them. Answering inquiries, such a machine once looked usable again and again, and drew the work
 // that waited; a start only goes with the answer to a machine's own report.
 TEST(Capacity, AMachineThatReachesNoControllerDrawsNoWork) {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -16,18 +16,6 @@
   return record;
 }
 
-Report report_of(const std::string& machine, std::uint64_t seq, std::vector<ReportedTask> tasks) {
-  Report report;
-  report.machine = machine;
-  report.address = "10.1.0.1:9000";
-  report.type = "box";
-  report.zone = "za";
-  report.session = 1;
-  report.seq = seq;
-  report.tasks = std::move(tasks);
-  return report;
-}
-
 ReportedTask running(const std::string& job, std::uint32_t index) {
   return {{job, index}, 1, RunState::Running, ExitCause::None, false};
 }
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -365,18 +365,6 @@
   EXPECT_LT(status_of(spec), 300);
 }
 
-Report report_of(const std::string& machine, std::uint64_t seq, std::vector<ReportedTask> tasks) {
-  Report report;
-  report.machine = machine;
-  report.address = "10.1.0.1:9000";
-  report.type = "box";
-  report.zone = "za";
-  report.session = 1;
-  report.seq = seq;
-  report.tasks = std::move(tasks);
-  return report;
-}
-
 /// A leader that has just taken over a gang of two, which runs on two machines.
 std::unique_ptr<CoreDriver> with_gang_of_two() {
   auto driver = std::make_unique<CoreDriver>(settings_without_siblings());
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -98,15 +98,10 @@
   driver.write(machines_key(0), encode_machines({{"m-1", "10.1.0.1:9000", {}}}));
   lower_limits(driver);
   driver.run_for(2'000);
-  Report report;
-  report.machine = "m-1";
-  report.address = "10.1.0.1:9000";
-  report.type = "box";
-  report.zone = "za";
-  report.session = report.seq = 1;
+  std::vector<ReportedTask> finished;
   for (const std::uint32_t index : {3U, 8'500U})
-    report.tasks.push_back({{"job-1", index}, 1, RunState::Exited, ExitCause::Done, false});
-  driver.report(report);
+    finished.push_back({{"job-1", index}, 1, RunState::Exited, ExitCause::Done, false});
+  driver.report(report_of("m-1", 1, finished));
   driver.run_for(2'000);
   EXPECT_EQ(driver.state().malformed, 0U);
   const Snapshot checkpoint = driver.checkpoint();
--- a/tests/sim/core_driver.hpp
+++ b/tests/sim/core_driver.hpp
@@ -20,17 +20,18 @@
   return settings;
 }
 
-inline MachineType sample_type() {
-  MachineType type;
-  type.name = "box";
-  type.size = {16, 8, 128};
-  type.cache_gb = 60;
-  type.fetch_gb_per_s = 5;
-  type.price = 10;
-  type.spot_price = 3;
-  type.boot_s = 12;
-  type.zones = {"za", "zb"};
-  return type;
+/// What a machine of the sample type in zone za reports in its first session.
+inline Report report_of(const std::string& machine, std::uint64_t seq,
+                        std::vector<ReportedTask> tasks) {
+  Report report;
+  report.machine = machine;
+  report.address = "10.1.0.1:9000";
+  report.type = "box";
+  report.zone = "za";
+  report.session = 1;
+  report.seq = seq;
+  report.tasks = std::move(tasks);
+  return report;
 }
 
 class CoreDriver {
--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -225,7 +225,7 @@
 }
 
 // What the operators saw break rules: troubles that meet. Two or three of them begin within
-// seconds, while users look closely and call jobs off; four such meetings a day.
+// seconds, while users look closely and call jobs off; four such combinations a day.
 void World::plan_fault_pairs() {
   const Time span = plan_.troubles_until - plan_.troubles_from;
   at(plan_.troubles_from, [this, span] {
@@ -233,9 +233,9 @@
     odd_requests(span);
     cancel_at_end(0.3, span);
   });
-  constexpr int kMeetings = 4;
-  for (int n = 0; n < kMeetings; ++n) {
-    const Time when = plan_.troubles_from + n * span / kMeetings + random_(4'000);
+  constexpr int kCombinations = 4;
+  for (int n = 0; n < kCombinations; ++n) {
+    const Time when = plan_.troubles_from + n * span / kCombinations + random_(4'000);
     const std::uint32_t troubles = 2 + random_(2);
     for (std::uint32_t k = 0; k < troubles; ++k)
       at(when + random_(2'500), [this] { inject_fault(random_(16)); });
--- a/tests/sim/world.cpp
+++ b/tests/sim/world.cpp
@@ -45,6 +45,19 @@
   return s;
 }
 
+MachineType sample_type() {
+  MachineType t;
+  t.name = "box";
+  t.size = {16, 8, 128};
+  t.cache_gb = 60;
+  t.fetch_gb_per_s = 5;
+  t.price = 10;
+  t.spot_price = 3;
+  t.boot_s = 12;
+  t.zones = {"za", "zb"};
+  return t;
+}
+
 std::string submission(const JobSpec& s) {
   rapidjson::StringBuffer b;
   json::Writer w(b);
@@ -114,16 +127,7 @@
   }
   const Settings full = sample_settings(0, plan.scale);
   state_.limit_rates(full.store.rps, full.store.write_rps);
-  MachineType t;
-  t.name = "box";
-  t.size = {16, 8, 128};
-  t.cache_gb = 60;
-  t.fetch_gb_per_s = 5;
-  t.price = 10;
-  t.spot_price = 3;
-  t.boot_s = 12;
-  t.zones = {"za", "zb"};
-  cloud_.types = {t};
+  cloud_.types = {sample_type()};
   for (const char* z : {"za", "zb"}) {
     cloud_.capacity[{z, false}] = 4 * static_cast<int>(plan.scale);
     cloud_.capacity[{z, true}] = 2 * static_cast<int>(plan.scale);
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -44,6 +44,8 @@
 inline std::string node_name(std::size_t i) { return "node-" + std::to_string(i); }
 
 Settings sample_settings(std::size_t node, std::uint32_t scale = 1);
+/// The only type of machine that the cloud rents.
+MachineType sample_type();
 std::string submission(const JobSpec& spec);
 
 class World {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -1,4 +1,4 @@
-// Changes of leader where a second trouble meets them. Each scene is named after its meeting in
+// Changes of leader where a second trouble meets them. Each scene is named after its combination in
 // docs/fault-combinations.md, and played with several seeds among the same crowd of jobs, whose
 // users look closely all the time. Afterwards nothing may be left waiting or unanswered.
 #include <gtest/gtest.h>
