Test world: a machine that hangs has lost its tasks a lease after its last answered report

It counted them as lost a lease after the hang began, up to a report's interval and 100 ms later than the protocol has it (the lease runs from the sending of the last report that was answered).

--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -1,4 +1,6 @@
 // Troubles of the simulated world, and the plans of seeded days.
+#include <cmath>
+
 #include "sim/world.hpp"
 
 namespace sailreel::sim {
@@ -102,18 +104,21 @@
 }
 
 void World::hang_machine(const std::string& name, Time for_ms) {
-  workers_[name].hang_until = now_ + for_ms;
-  // Beyond its lease a machine that hangs counts as having lost its tasks.
-  const Time lease = ms(settings_[0].workers.lease_s);
-  at(now_ + lease + 100, [this, name, until = now_ + for_ms] {
-    Worker& w = workers_[name];
-    if (w.alive && now_ < until)
-      for (auto& [key, list] : w.tasks)
-        for (WorkTask& t : list) {
-          if (t.on) ended(t.report.key, name, false);
-          t.on = false;
-        }
-  });
+  Worker& hung = workers_[name];
+  hung.hang_until = now_ + for_ms;
+  // Beyond its lease, which runs from the last report that was answered, a machine that hangs
+  // counts as having lost its tasks: it ends them before it does anything else.
+  const double lease = settings_[0].workers.lease_s * 1000;
+  at(hung.last_ok_sent + static_cast<Time>(std::ceil(lease / hung.drift)) + 1,
+     [this, name, until = hung.hang_until] {
+       Worker& w = workers_[name];
+       if (!w.alive || now_ >= until) return;
+       for (auto& [key, list] : w.tasks)
+         for (WorkTask& t : list) {
+           if (t.on) ended(t.report.key, name, false);
+           t.on = false;
+         }
+     });
 }
 
 void World::deafen_machine(const std::string& name, Time for_ms) {
