--- a/tests/sim/troubles.cpp
+++ b/tests/sim/troubles.cpp
@@ -45,10 +45,6 @@
   kill(node, for_ms);
 }
 
-bool World::all_upgraded() const {
-  return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& n) { return n.upgraded; });
-}
-
 void World::lower_limits() {
   state_.value_limit = static_cast<std::size_t>(plan_.next_value_kb * 1024);
   state_.ops_limit = plan_.next_txn_ops;
--- a/tests/sim/world.hpp
+++ b/tests/sim/world.hpp
@@ -66,7 +66,6 @@
   void kill(std::size_t node, Time for_ms);
   /// The process ends and comes back with the present version.
   void upgrade(std::size_t node, Time for_ms);
-  [[nodiscard]] bool all_upgraded() const;
   /// The state service's limits fall, without notice.
   void lower_limits();
   void cut(const std::string& a, const std::string& b, Time for_ms, bool hold);
