--- a/tests/sim/checker.hpp
+++ b/sim/checker.hpp
@@ -128,13 +128,15 @@
       broken("wrong_place", task);
     std::map<std::string, std::uint32_t> zones;
     zones[place.zone] = 1;
-    for (const auto& [other, places] : on_)
-      if (other != task && other.starts_with(key.job + "/"))
-        for (const auto& [m, p] : places) ++zones[p.zone];
+    const std::string of_job = key.job + "/";
+    for (auto it = on_.lower_bound(of_job); it != on_.end() && it->first.starts_with(of_job); ++it)
+      if (it->first != task)
+        for (const auto& [m, p] : it->second) ++zones[p.zone];
     if (s.one_zone && zones.size() > 1) broken("wrong_place", task + " not together");
     if (s.spread && zones[place.zone] > (s.tasks + 1) / 2)
       broken("wrong_place", task + " not spread");
     where[place.machine] = place;
+    ++running_;
     Resources& used = used_[s.team];
     used += s.need;
     for (const Team& t : teams_)
@@ -148,8 +150,11 @@
     JobBook& j = jobs_[key.job];
     const std::string task = key.job + "/" + std::to_string(key.index);
     const auto it = on_.find(task);
-    if (it != on_.end() && it->second.erase(machine) > 0 && j.spec)
-      used_[j.spec->team] -= j.spec->need;
+    if (it != on_.end() && it->second.erase(machine) > 0) {
+      --running_;
+      if (j.spec) used_[j.spec->team] -= j.spec->need;
+      if (it->second.empty()) on_.erase(it);
+    }
     if (completed) j.completed.insert(key.index);
   }
   /// A gang is done: all its tasks are, since they complete together.
@@ -213,6 +218,14 @@
     return out;
   }
   [[nodiscard]] std::uint64_t starts() const { return starts_; }
+  /// Tasks that are on a machine.
+  [[nodiscard]] std::uint32_t tasks_running() const { return running_; }
+  /// What a team's tasks use at this moment.
+  [[nodiscard]] Resources used_by(const std::string& team) const {
+    const auto it = used_.find(team);
+    return it == used_.end() ? Resources{} : it->second;
+  }
+  [[nodiscard]] std::size_t jobs() const { return jobs_.size(); }
   [[nodiscard]] std::size_t jobs_over() const {
     std::size_t n = 0;
     for (const auto& [id, j] : jobs_) n += j.final_state.empty() ? 0 : 1;
@@ -248,6 +261,7 @@
   std::map<std::string, Resources> used_;
   std::map<std::string, std::vector<std::string>> violations_;
   std::uint64_t starts_ = 0;
+  std::uint32_t running_ = 0;
 };
 
 }  // namespace sailreel::sim
--- a/tests/sim/stand_ins.hpp
+++ b/sim/stand_ins.hpp
@@ -231,7 +231,10 @@
   std::map<std::pair<std::string, bool>, std::uint32_t> capacity;  // by zone and kind
   std::map<std::string, CloudMachine> machines;
   bool outage = false;
+  /// One in so many rented machines stays booting for ever; 0: none.
   std::uint32_t one_in_never_up = 25;
+  /// Each machine gets an address of its own below this; empty: a made-up one.
+  std::string address_prefix;
   std::function<void(const CloudMachine&)> on_rented;
   std::function<void(const std::string&)> on_released;
 
@@ -297,17 +300,24 @@
   }
 
  private:
+  [[nodiscard]] std::string address_of(std::size_t number) const {
+    if (address_prefix.empty()) return "10.1.0.1:" + std::to_string(1000 + number);
+    constexpr std::size_t kHostsPerNet = 250;
+    constexpr const char* kWorkerPort = ":9000";
+    return address_prefix + std::to_string(number / kHostsPerNet) + "." +
+           std::to_string(1 + number % kHostsPerNet) + kWorkerPort;
+  }
   void rent(const CloudCall& call, Time now, CloudReply& r) {
     char name[32];
     std::snprintf(name, sizeof name, "m-%06zu", next_++);
     CloudMachine m;
     m.name = name;
-    m.address = std::string("10.1.0.1:") + std::to_string(1000 + next_);
+    m.address = address_of(next_);
     m.type = call.rental.type;
     m.zone = call.rental.zone;
     m.spot = call.rental.spot;
     m.rented = now;
-    m.broken = random_(one_in_never_up) == 0;
+    m.broken = one_in_never_up > 0 && random_(one_in_never_up) == 0;
     const double boot = 1000 * types.front().boot_s * (0.6 + random_(90) / 100.0);
     m.boots = random_(12) == 0 ? now + 1000 : now + static_cast<Time>(boot);
     machines[name] = m;
--- a/tests/sim/troubles.cpp
+++ b/sim/troubles.cpp
@@ -126,13 +126,13 @@
 }
 
 void World::isolate(std::size_t node, Time for_ms, bool hold) {
-  cut(node_name(node), "state", for_ms, hold);
+  cut(nodes_[node].name, "state", for_ms, hold);
   cut_peers(node, for_ms, hold);
 }
 
 void World::cut_peers(std::size_t node, Time for_ms, bool hold) {
   for (std::size_t i = 0; i < nodes_.size(); ++i)
-    if (i != node) cut(node_name(node), node_name(i), for_ms, hold);
+    if (i != node) cut(nodes_[node].name, nodes_[i].name, for_ms, hold);
 }
 
 void World::late_writes(double share, Time for_ms, bool at_once) {
@@ -293,7 +293,7 @@
         });
       return;
     default:  // from the state service alone, holding what is sent
-      return cut(node_name(target), "state", longer, hold);
+      return cut(nodes_[target].name, "state", longer, hold);
   }
 }
 
@@ -323,7 +323,7 @@
 }
 
 void World::controller_trouble(std::uint32_t kind, std::size_t target, Time span_ms, bool hold) {
-  const std::string name = node_name(target);
+  const std::string name = nodes_[target].name;
   const auto cut_from_workers = [&] {
     for (const auto& machine : machines_up()) cut(name, machine, span_ms, hold);
   };
@@ -336,7 +336,7 @@
     case 2:  // from everything
       for (const std::string& other :
            {std::string("state"), std::string("cloud"), std::string("users"),
-            node_name((target + 1) % 3), node_name((target + 2) % 3)})
+            nodes_[(target + 1) % 3].name, nodes_[(target + 2) % 3].name})
         cut(name, other, span_ms, hold);
       return cut_from_workers();
     case 3:
@@ -368,7 +368,7 @@
       return deafen_machine(machine, span_ms);
     case 12:  // one machine, from all controllers
     case 13:
-      for (std::size_t i = 0; i < 3; ++i) cut(node_name(i), machine, span_ms, hold);
+      for (std::size_t i = 0; i < 3; ++i) cut(nodes_[i].name, machine, span_ms, hold);
       return;
     default:
       return take_back(machine);
--- a/tests/sim/users.cpp
+++ b/sim/users.cpp
@@ -1,5 +1,5 @@
 // The users of the simulated world.
-#include "protocol/json.hpp"
+#include "protocol/counterpart_codec.hpp"
 #include "sim/world.hpp"
 
 namespace sailreel::sim {
@@ -9,14 +9,6 @@
 
 Time patience(UserOp op) { return op == UserOp::Query ? kUserWait : kSubmitWait; }
 
-/// What an answer says of a job's state; empty if it is none of ours.
-std::string heading_of(const std::string& body) {
-  json::Document doc;
-  std::string state;
-  if (!json::parse_object(body, doc) || !json::get(doc, "heading", state)) return {};
-  return state;
-}
-
 bool accepted(int status) { return status == 200 || status == 201; }
 
 }  // namespace
@@ -29,7 +21,7 @@
 void World::submit(const JobSpec& spec, Time cancel_at) {
   auto u = std::make_unique<User>();
   u->spec = spec;
-  u->body = submission(spec);
+  u->body = encode_submission(spec);
   u->cancel_at = cancel_at;
   u->first = now_;
   by_job_[spec.id] = users_.size();
@@ -40,7 +32,7 @@
 
 void World::submit_at(const JobSpec& spec, std::size_t node, const std::function<void(int)>& then) {
   checker_.submitted(spec);
-  request(node, UserOp::Submit, spec.id, submission(spec),
+  request(node, UserOp::Submit, spec.id, encode_submission(spec),
           [then](int status, const std::string&) { then(status); });
 }
 
@@ -49,9 +41,9 @@
                              std::function<void(int, const std::string&)> then) {
   const std::uint64_t call = next_call_++;
   answers_[call] = [this, node, then = std::move(then)](int status, const std::string& text) {
-    carry(node_name(node), "users", [then, status, text] { then(status, text); });
+    carry(nodes_[node].name, "users", [then, status, text] { then(status, text); });
   };
-  carry("users", node_name(node), [this, node, call, op, id, body] {
+  carry("users", nodes_[node].name, [this, node, call, op, id, body] {
     const bool submits = op == UserOp::Submit;
     feed(node,
          UserRequest{{Origin::Kind::Local, call, 0}, op, submits ? "" : id, submits ? body : ""});
@@ -92,7 +84,7 @@
                 if (users_[index]->turn == turn) return user_answer(index, op, status, body);
                 // Overtaken by a request of the user's own; it was told all the same.
                 if (accepted(status))
-                  checker_.told(users_[index]->spec.id, heading_of(body), now_, asked);
+                  checker_.told(users_[index]->spec.id, decode_job_state(body), now_, asked);
               });
   u.call = call;
   at(now_ + patience(op), [this, index, turn, call, op] {
@@ -108,7 +100,7 @@
   if (op == UserOp::Submit && status == 0) ++unanswered_;
   if (op == UserOp::Cancel && status == 0) ++unanswered_cancels_;
   if (accepted(status)) {
-    const std::string state = heading_of(body);
+    const std::string state = decode_job_state(body);
     if (state.empty()) {
       ++malformed_;
     } else {
@@ -141,9 +133,10 @@
   if (op == UserOp::Cancel) checker_.cancel_asked(id);
   request(node, op, id, body, [=, this](int status, const std::string& text) {
     if (then) then(status);
-    if (op == UserOp::Cancel && accepted(status)) checker_.cancel_answered(id, heading_of(text));
+    if (op == UserOp::Cancel && accepted(status))
+      checker_.cancel_answered(id, decode_job_state(text));
     if (accepted(status))
-      checker_.told(id, heading_of(text), now_, asked);
+      checker_.told(id, decode_job_state(text), now_, asked);
     else if (status == 404 || status == 400 || status == 422)
       checker_.refused(id, status, op != UserOp::Submit, asked);
   });
@@ -155,7 +148,7 @@
     for (std::size_t node = 0; node < nodes_.size(); ++node)
       at(now_ + random_(20) + static_cast<Time>(round) * 100,
          [this, id, node] { ask(id, node, UserOp::Query); });
-  at(now_ + random_(20), [this, id] { ask(id, random_(3), UserOp::Submit); });
+  at(now_ + random_(20), [this, id] { ask(id, random_(node_count()), UserOp::Submit); });
   if (!users_[index]->over && random_(8) == 0) call_off(index);
 }
 
@@ -176,12 +169,12 @@
 void World::odd_request(Time until) {
   if (now_ >= until) return;
   at(now_ + 300 + random_(700), [this, until] { odd_request(until); });
-  const std::size_t node = random_(3);
+  const std::size_t node = random_(node_count());
   if (!users_.empty()) {
     // A repeat of any job's submission, and a cancellation of one that is over.
     const User& u = *users_[random_(static_cast<std::uint32_t>(users_.size()))];
     if (u.accepted) ask(u.spec.id, node, UserOp::Submit);
-    if (u.over) ask(u.spec.id, random_(3), UserOp::Cancel);
+    if (u.over) ask(u.spec.id, random_(node_count()), UserOp::Cancel);
   }
   JobSpec s;
   s.id = "job-77" + std::to_string(next_odd_++);
@@ -193,7 +186,7 @@
   const std::uint32_t kind = random_(4);
   if (kind == 0) s.need.gpus = 1'000;
   if (kind == 1) s.team = "nobody";
-  std::string body = submission(s);
+  std::string body = encode_submission(s);
   if (kind == 2) body.replace(body.find("\"ram_gb\""), 8, "\"ram_xx\"");
   const UserOp op = kind == 3 ? UserOp::Query : UserOp::Submit;
   request(node, op, s.id, body, [this, id = s.id](int status, const std::string&) {
--- a/tests/sim/workers.cpp
+++ b/sim/workers.cpp
@@ -1,5 +1,5 @@
 // The workers of the simulated world, by their published protocol.
-#include "protocol/json.hpp"
+#include "protocol/counterpart_codec.hpp"
 #include "protocol/worker_codec.hpp"
 #include "sim/world.hpp"
 
@@ -8,25 +8,6 @@
 
 constexpr Time kReportWait = 4'000, kWorkerTick = 100;
 
-std::vector<Command> parse_orders(const std::string& body, std::uint64_t& token) {
-  json::Document doc;
-  std::vector<Command> out;
-  if (!json::parse_object(body, doc) || !json::get(doc, "helm", token)) return out;
-  for (const auto& v : doc["orders"].GetArray()) {
-    Command c;
-    const std::string op = v["signal"].GetString(), task = v["hand"].GetString();
-    c.op = op == "start"  ? Command::Op::Start
-           : op == "kill" ? Command::Op::Stop
-                          : Command::Op::Forget;
-    const auto slash = task.rfind('/');
-    c.key = {task.substr(0, slash), static_cast<std::uint32_t>(std::stoul(task.substr(slash + 1)))};
-    c.attempt = v["launch"].GetUint64();
-    if (c.op == Command::Op::Stop) c.grace_s = v["slack_s"].GetDouble();
-    out.push_back(c);
-  }
-  return out;
-}
-
 }  // namespace
 
 Report World::make_report(Worker& w) {
@@ -105,6 +86,7 @@
   t.on = true;
   w.changed = true;
   checker_.started(r.key, {w.machine.name, w.machine.type, w.machine.zone, w.machine.spot}, now_);
+  if (on_started) on_started(r.key);
   const User* u = user_of(r.key.job);
   if (u == nullptr) return;
   w.images.insert(u->spec.image);
@@ -144,67 +126,21 @@
     take_answer(it->second, flight, sent, session, status, body);
   };
   answers_[call] = [this, i, name, finish](int status, const std::string& body) {
-    carry(node_name(i), name, [finish, status, body] { finish(status, body); });
+    carry(nodes_[i].name, name, [finish, status, body] { finish(status, body); });
   };
-  // What is handed on between nodes is never looked into by this stand-in, so its form is free.
-  const std::string raw = [&] {
-    rapidjson::StringBuffer b;
-    json::Writer j(b);
-    j.StartObject();
-    const auto text = [&](const char* k, const std::string& v) {
-      j.Key(k);
-      json::put(j, v);
-    };
-    const auto whole = [&](const char* k, std::uint64_t v) {
-      j.Key(k);
-      j.Uint64(v);
-    };
-    text("vessel", report.machine);
-    text("endpoint", report.address);
-    text("hull", report.type);
-    text("harbor", report.zone);
-    j.Key("driftwood");
-    j.Bool(report.spot);
-    whole("watch", report.session);
-    whole("bell", report.seq);
-    whole("helm", report.token);
-    if (report.notice_s) {
-      j.Key("recall_s");
-      j.Double(*report.notice_s);
-    }
-    j.Key("hands");
-    j.StartArray();
-    static const char* const kState[] = {"pulling", "running", "flushing", "ended", "gathering"};
-    static const char* const kCause[] = {"",     "done",    "stopped",    "error",     "no_room",
-                                         "busy", "unknown", "mates_gone", "incomplete"};
-    for (const ReportedTask& t : report.tasks) {
-      j.StartObject();
-      text("hand", t.key.job + "/" + std::to_string(t.key.index));
-      whole("launch", t.attempt);
-      text("heading", kState[static_cast<std::size_t>(t.state)]);
-      if (t.state == RunState::Exited) text("wake", kCause[static_cast<std::size_t>(t.cause)]);
-      if (t.saved) {
-        j.Key("kept");
-        j.Bool(true);
-      }
-      j.EndObject();
-    }
-    j.EndArray();
-    j.EndObject();
-    return json::text(b);
-  }();
+  const std::string raw = encode_report(report);
   const auto deliver = [this, i, raw](Origin origin) {
     ++reports_;
     if (auto decoded = decode_report(raw)) feed(i, WorkerReport{origin, *decoded, raw});
   };
   if (now_ >= w.mute_until)
-    carry(name, node_name(i), [this, i, deliver, call, finish] {
+    carry(name, nodes_[i].name, [this, i, deliver, call, finish] {
       if (!nodes_[i].controller) return finish(0, "");
       deliver({Origin::Kind::Local, call, 0});
     });
   if (random_(1000) < plan_.late_copies * 1000)
     at(now_ + 1000 + random_(40'000),
-       [this, name, i, deliver] { carry(name, node_name(i), [deliver] { deliver({}); }); });
+       [this, name, i, deliver] { carry(name, nodes_[i].name, [deliver] { deliver({}); }); });
   if (strikes(for_next_)) kept_reports_.push_back(raw);
   if (strikes(late_reports_))
     at(now_ + 2'000 + random_(static_cast<std::uint32_t>(2'500 * plan_.lease_s)),
@@ -223,25 +159,23 @@
   w.in_flight = false;
   if (now_ < w.hang_until) return;
   if (status == 200) {
-    std::uint64_t token = 0;
-    const auto orders = parse_orders(body, token);
-    if (session != w.session || token < w.token || token == 0) return;
-    if (token > w.token) w.changed = true;
-    w.token = token;
+    const auto batch = decode_commands(body);
+    if (!batch || session != w.session || batch->token < w.token || batch->token == 0) return;
+    if (batch->token > w.token) w.changed = true;
+    w.token = batch->token;
     w.last_ok_sent = std::max(w.last_ok_sent, sent);
-    for (const Command& c : orders) obey(w, c);
+    for (const Command& c : batch->commands) obey(w, c);
     return;
   }
-  const auto quoted = body.find("node-");
-  if (status == 421 && quoted != std::string::npos) {
-    const auto to = static_cast<std::size_t>(body[quoted + 5] - '0');
-    if (to != w.node) {
+  if (status == 421) {
+    const std::size_t to = node_index(decode_redirect(body));
+    if (to < nodes_.size() && to != w.node) {
       w.node = to;
       w.next_report = now_ + random_(500);
       return;
     }
   }
-  w.node = (w.node + 1) % 3;
+  w.node = (w.node + 1) % nodes_.size();
   w.next_report = now_ + 1000;
 }
 
@@ -331,35 +265,47 @@
   const std::string name = known->second;
   const std::uint64_t incarnation = nodes_[node].incarnation;
   const auto execute = [=, this] { execute_direct(node, call, name, body, incarnation); };
-  carry_command(node_name(node), name, execute);
+  carry_command(nodes_[node].name, name, execute);
 }
 
 void World::execute_direct(std::size_t node, std::uint64_t call, const std::string& name,
                            const std::string& body, std::uint64_t incarnation) {
+  command(name, body, [=, this](int status, const Report& report) {
+    const auto answer = [this, node, call, incarnation, status, report] {
+      if (nodes_[node].incarnation != incarnation) return;
+      nodes_[node].direct_calls.erase(call);
+      feed(node, WorkerAnswer{call, status, report});
+    };
+    carry_command(name, nodes_[node].name, answer);
+  });
+}
+
+void World::command(const std::string& name, const std::string& body,
+                    const std::function<void(int, const Report&)>& then) {
   const auto it = workers_.find(name);
   if (it == workers_.end() || !it->second.alive || now_ < it->second.deaf_until) return;
   Worker& w = it->second;
   if (now_ < w.hang_until)  // carried out late
-    return at(w.hang_until + 5, [=, this] { execute_direct(node, call, name, body, incarnation); });
-  json::Document doc;
-  std::uint64_t token = 0, session = 0;
+    return at(w.hang_until + 5, [=, this] { command(name, body, then); });
   int status = 400;
-  if (json::parse_object(body, doc) && json::get(doc, "helm", token) &&
-      json::get(doc, "watch", session)) {
-    status = token < w.token || session != w.session ? 409 : 200;
+  const auto batch = decode_commands(body);
+  if (batch && batch->session) {
+    status = batch->token < w.token || *batch->session != w.session ? 409 : 200;
     if (status == 200) {
-      if (token > w.token) w.changed = true;
-      w.token = token;
-      for (const Command& c : parse_orders(body, token)) obey(w, c);
+      if (batch->token > w.token) w.changed = true;
+      w.token = batch->token;
+      for (const Command& c : batch->commands) obey(w, c);
     }
   }
-  const Report report = make_report(w);
-  const auto answer = [this, node, call, incarnation, status, report] {
-    if (nodes_[node].incarnation != incarnation) return;
-    nodes_[node].direct_calls.erase(call);
-    feed(node, WorkerAnswer{call, status, report});
-  };
-  carry_command(name, node_name(node), answer);
+  then(status, make_report(w));
+}
+
+void World::inspect(const std::string& name, const std::function<void(int, const Report&)>& then) {
+  const auto it = workers_.find(name);
+  if (it == workers_.end() || !it->second.alive || now_ < it->second.deaf_until) return;
+  if (now_ < it->second.hang_until)
+    return at(it->second.hang_until + 5, [=, this] { inspect(name, then); });
+  then(200, make_report(it->second));
 }
 
 // A copy of a report, to all controllers at once; nobody waits for an answer.
--- a/tests/sim/world.cpp
+++ b/sim/world.cpp
@@ -3,8 +3,6 @@
 #include <cstdio>
 #include <cstdlib>
 
-#include "protocol/json.hpp"
-#include "protocol/user_codec.hpp"
 #include "protocol/worker_codec.hpp"
 
 namespace sailreel::sim {
@@ -58,62 +56,10 @@
   return t;
 }
 
-std::string submission(const JobSpec& s) {
-  rapidjson::StringBuffer b;
-  json::Writer w(b);
-  const auto text = [&](const char* k, const std::string& v) {
-    w.Key(k);
-    json::put(w, v);
-  };
-  const auto number = [&](const char* k, double v) {
-    w.Key(k);
-    w.Double(v);
-  };
-  const auto flag = [&](const char* k, bool v) {
-    w.Key(k);
-    w.Bool(v);
-  };
-  w.StartObject();
-  text("id", s.id);
-  text("berth", s.job_class);
-  text("crew", s.team);
-  text("rig", s.kind == JobKind::Array ? "sweep" : s.kind == JobKind::Service ? "service" : "gang");
-  static const char* const kPriority[] = {"critical", "urgent", "standard", "best_effort"};
-  text("precedence", kPriority[static_cast<std::size_t>(s.priority)]);
-  w.Key("hands");
-  w.Uint(s.tasks);
-  number("cores", s.need.cpus);
-  number("cards", s.need.gpus);
-  number("ram_gb", s.need.memory_gb);
-  text("cargo", s.image);
-  number("pull_gb", s.image_gb);
-  if (!s.any_type) {
-    w.Key("hulls");
-    w.StartArray();
-    for (const auto& t : s.types) json::put(w, t);
-    w.EndArray();
-  }
-  if (!s.zone.empty()) text("harbor", s.zone);
-  flag("together", s.one_zone);
-  flag("spread", s.spread);
-  flag("driftwood", s.spot);
-  number("voyage_s", s.estimate_s);
-  number("logbook_s", s.checkpoint_s);
-  number("stow_s", s.save_s);
-  if (s.deadline_s) number("landfall_s", *s.deadline_s);
-  w.EndObject();
-  return json::text(b);
-}
-
-World::World(const DayPlan& plan)
-    : plan_(plan),
-      random_(plan.seed),
-      settings_{sample_settings(0, plan.scale), sample_settings(1, plan.scale),
-                sample_settings(2, plan.scale)},
-      checker_(settings_[0].teams, ms(plan.cancel_s)),
-      cloud_(plan.seed * 31 + 7),
-      nodes_(3) {
-  for (Settings& s : settings_) {
+Deployment sample_deployment(const DayPlan& plan) {
+  Deployment out;
+  for (std::size_t node = 0; node < 3; ++node) {
+    Settings s = sample_settings(node, plan.scale);
     if (plan.scale <= 50) s.workers.report_s = plan.report_s;
     s.workers.lease_s = plan.lease_s;
     s.workers.cancel_s = plan.cancel_s;
@@ -124,14 +70,32 @@
     if (plan.next_txn_ops > 0) s.store.txn_ops = std::min(s.store.txn_ops, plan.next_txn_ops);
     if (plan.next_write_rps > 0)
       s.store.write_rps = std::min(s.store.write_rps, plan.next_write_rps);
+    out.controllers.push_back(std::move(s));
   }
   const Settings full = sample_settings(0, plan.scale);
-  state_.limit_rates(full.store.rps, full.store.write_rps);
-  cloud_.types = {sample_type()};
-  for (const char* z : {"za", "zb"}) {
-    cloud_.capacity[{z, false}] = 4 * static_cast<int>(plan.scale);
-    cloud_.capacity[{z, true}] = 2 * static_cast<int>(plan.scale);
+  out.state_rps = full.store.rps;
+  out.state_write_rps = full.store.write_rps;
+  out.types = {sample_type()};
+  for (const char* zone : {"za", "zb"}) {
+    out.capacity[{zone, false}] = 4 * plan.scale;
+    out.capacity[{zone, true}] = 2 * plan.scale;
   }
+  return out;
+}
+
+World::World(const DayPlan& plan)
+    : plan_(plan),
+      random_(plan.seed),
+      deployment_(plan.deployment ? *plan.deployment : sample_deployment(plan)),
+      settings_(deployment_.controllers),
+      checker_(settings_[0].teams, ms(plan.cancel_s)),
+      cloud_(plan.seed * 31 + 7),
+      nodes_(settings_.size()) {
+  state_.limit_rates(deployment_.state_rps, deployment_.state_write_rps);
+  cloud_.types = deployment_.types;
+  cloud_.capacity = deployment_.capacity;
+  cloud_.one_in_never_up = deployment_.one_in_never_up;
+  cloud_.address_prefix = deployment_.worker_address_prefix;
   cloud_.on_rented = [this](const CloudMachine& m) {
     if (m.broken) return;
     at(plan_.boots_ms > 0 ? now_ + plan_.boots_ms : m.boots, [this, m] {
@@ -141,7 +105,7 @@
       Worker& w = workers_[m.name];
       w.machine = m;
       w.began = w.last_ok_sent = now_;
-      w.node = random_(3);
+      w.node = random_(node_count());
       w.drift = 1.0 + (static_cast<double>(random_(1000)) - 500) * 1e-6;
       by_address_[m.address] = m.name;
       worker_tick(m.name);
@@ -150,10 +114,8 @@
   cloud_.on_released = [this](const std::string& name) {
     if (workers_.contains(name)) kill_machine(name);
   };
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    nodes_[i].name = node_name(i);
-    start_node(i);
-  }
+  for (std::size_t i = 0; i < nodes_.size(); ++i) nodes_[i].name = settings_[i].name;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) start_node(i);
   housekeeping();
   plan_jobs();
   if (plan.fault_pairs)
@@ -197,6 +159,8 @@
     if (hold) at(until + delay(), std::move(arrive));
     return;
   }
+  // Over sockets, the network's own delays come with each message.
+  if (plan_.over_sockets) return at(now_, std::move(arrive));
   if (random_(1'000'000) < plan_.loss * 1'000'000) return;
   at(now_ + delay(), std::move(arrive));
 }
@@ -213,7 +177,8 @@
     settings.store = sample_settings(i, plan_.scale).store;
     n.controller = plan_.production(settings, seed);
   } else {
-    n.controller = std::make_unique<PresentController>(settings_[i], seed);
+    n.controller = plan_.controllers ? plan_.controllers(i, settings_[i], seed)
+                                     : std::make_unique<PresentController>(settings_[i], seed);
   }
   feed(i, Tick{});
 }
@@ -242,6 +207,12 @@
   std::visit([this, i](const auto& a) { perform(i, a); }, action);
 }
 
+std::size_t World::node_index(const std::string& name) const {
+  std::size_t i = 0;
+  while (i < nodes_.size() && nodes_[i].name != name) ++i;
+  return i;
+}
+
 std::function<bool()> World::still_alive(std::size_t i) const {
   return [this, i, incarnation = nodes_[i].incarnation] {
     return nodes_[i].controller && nodes_[i].incarnation == incarnation;
@@ -284,7 +255,7 @@
   carry(nodes_[i].name, "state", [this, i, lost, request = call.request, finish] {
     const bool refused = now_ < nodes_[i].refused_until;
     state_.handle(request, refused, now_, [this, i, lost, finish](const StateReply& reply) {
-      if (!lost) carry("state", node_name(i), [finish, reply] { finish(reply); });
+      if (!lost) carry("state", nodes_[i].name, [finish, reply] { finish(reply); });
     });
   });
 }
@@ -299,7 +270,7 @@
   };
   carry(nodes_[i].name, "cloud", [this, i, request = call.request, finish] {
     const CloudReply reply = cloud_.handle(request, now_);
-    carry("cloud", node_name(i), [finish, reply] { finish(reply); });
+    carry("cloud", nodes_[i].name, [finish, reply] { finish(reply); });
   });
   at(now_ + call.timeout_ms, [finish] { finish(CloudReply{}); });
 }
@@ -319,7 +290,7 @@
 // Over the real frames, so that these are in the test too.
 void World::perform(std::size_t i, const SendPeer& peer) {
   const std::string to = settings_[i].siblings[peer.sibling].name;
-  const std::size_t j = static_cast<std::size_t>(to.back() - '0');
+  const std::size_t j = node_index(to);
   // The link ends with the process: its number stands for both.
   const std::uint64_t link = nodes_[i].incarnation * nodes_.size() + i;
   carry(nodes_[i].name, to, [this, i, j, link, bytes = encode_peer(peer.message)] {
@@ -342,7 +313,7 @@
   }
   const auto& siblings = settings_[to].siblings;
   for (std::size_t k = 0; k < siblings.size(); ++k)
-    if (siblings[k].name == node_name(from)) feed(to, PeerInput{k, message});
+    if (siblings[k].name == nodes_[from].name) feed(to, PeerInput{k, message});
 }
 
 void World::node_answer(std::size_t i, const Answer& a) {
@@ -355,11 +326,11 @@
     if (a.valid_until != kNever)
       m.answer.valid_ms =
           static_cast<std::uint32_t>(std::max<Time>(0, a.valid_until - steady_clock(i)));
-    carry(nodes_[i].name, node_name(j), [this, i, j, incarnation, m] {
+    carry(nodes_[i].name, nodes_[j].name, [this, i, j, incarnation, m] {
       if (nodes_[j].incarnation != incarnation) return;
       const auto& siblings = settings_[j].siblings;
       for (std::size_t k = 0; k < siblings.size(); ++k)
-        if (siblings[k].name == node_name(i)) feed(j, PeerInput{k, m});
+        if (siblings[k].name == nodes_[i].name) feed(j, PeerInput{k, m});
     });
     return;
   }
--- a/tests/sim/world.hpp
+++ b/sim/world.hpp
@@ -1,10 +1,12 @@
-// A simulated day: three real cores, the stand-ins, workers, users and a balancer, on one simulated
-// clock, with seeded troubles.
+// A region with its controllers, the stand-ins for cloud and state service, workers and users. In
+// tests the controllers are cores in this process and the clock is simulated, with seeded troubles;
+// in a scale run they are processes behind sockets, and the caller moves the clock on with time.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 #include <queue>
 #include <set>
@@ -19,6 +21,19 @@
 
 namespace sailreel::sim {
 
+/// The controllers of a region, and what they find around them.
+struct Deployment {
+  std::vector<Settings> controllers;
+  std::vector<MachineType> types;
+  /// Machines that the cloud has, by zone and kind (spot or not).
+  std::map<std::pair<std::string, bool>, std::uint32_t> capacity;
+  double state_rps = 1e9, state_write_rps = 1e9;
+  /// One in so many rented machines stays booting for ever; 0: none.
+  std::uint32_t one_in_never_up = 25;
+  /// Workers get an address of their own below this; empty: a made-up one.
+  std::string worker_address_prefix;
+};
+
 struct DayPlan {
   std::uint64_t seed = 1;
   Time length = 240'000;
@@ -33,6 +48,13 @@
   std::uint64_t next_txn_ops = 0;
   /// The day begins with controllers of another version, which are upgraded one by one.
   std::function<std::unique_ptr<Controller>(const Settings&, std::uint64_t seed)> production;
+  /// Instead of the sample deployment.
+  std::optional<Deployment> deployment;
+  /// Makes each controller; empty: a core of the present version within this process.
+  std::function<std::unique_ptr<Controller>(std::size_t node, const Settings&, std::uint64_t seed)>
+      controllers;
+  /// Messages cross real sockets, which delay and lose them by themselves.
+  bool over_sockets = false;
   std::uint32_t scale = 1;  // of the capacity and the teams; 12 machines at 1
   double loss = 0.002;
   double late_copies = 0.01;
@@ -46,7 +68,8 @@
 Settings sample_settings(std::size_t node, std::uint32_t scale = 1);
 /// The only type of machine that the cloud rents.
 MachineType sample_type();
-std::string submission(const JobSpec& spec);
+/// Three controllers in two zones, changed as the plan says.
+Deployment sample_deployment(const DayPlan& plan);
 
 class World {
  public:
@@ -54,6 +77,8 @@
   ~World();
 
   void run_until(Time t);
+  /// Something to be done at that moment of the day.
+  void at(Time t, std::function<void()> run);
   /// The whole day; the checker says what was broken.
   void run() { run_until(plan_.length); }
 
@@ -62,6 +87,14 @@
   Cloud& cloud() { return cloud_; }
   [[nodiscard]] Time now() const { return now_; }
 
+  /// What a controller outside of this process has answered to an input.
+  void deliver(std::size_t node, const Answer& answer) { node_answer(node, answer); }
+  /// A direct command to a worker; `then` gets its answer, if it ever gives one.
+  void command(const std::string& machine, const std::string& body,
+               const std::function<void(int, const Report&)>& then);
+  /// A worker's report on request.
+  void inspect(const std::string& machine, const std::function<void(int, const Report&)>& then);
+
   // Troubles.
   void kill(std::size_t node, Time for_ms);
   /// The process ends and comes back with the present version.
@@ -144,6 +177,8 @@
   [[nodiscard]] Time gang_saved_ms(const std::string& job) { return gang_progress_[job].saved_ms; }
   /// Where tasks of a job are, whether they run or wait.
   [[nodiscard]] std::vector<std::string> machines_of(const std::string& job) const;
+  /// Called when a task has its image and begins to be on its machine; not for gangs.
+  std::function<void(const TaskKey&)> on_started;
   /// Called when a worker has completed a task, before anybody hears of it.
   std::function<void(const TaskKey&, const std::string& machine)> on_completed;
   /// Called when a task that had begun to run is on its machine no longer.
@@ -210,13 +245,17 @@
     bool operator<(const Event& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
   };
 
-  void at(Time t, std::function<void()> run);
   /// Carries a message between two hosts: delayed, lost, or held by a cut.
   void carry(const std::string& from, const std::string& to, std::function<void()> arrive);
   [[nodiscard]] std::string zone_of(const std::string& host) const;
   [[nodiscard]] std::pair<Time, bool> cut_between(const std::string& a, const std::string& b) const;
   [[nodiscard]] Time delay();
   void start_node(std::size_t i);
+  [[nodiscard]] std::uint32_t node_count() const {
+    return static_cast<std::uint32_t>(nodes_.size());
+  }
+  /// The number of nodes if none has that name.
+  [[nodiscard]] std::size_t node_index(const std::string& name) const;
   [[nodiscard]] Time steady_clock(std::size_t node) const;
   void feed(std::size_t i, Input input);
   void act(std::size_t i, const Action& action);
@@ -300,6 +339,7 @@
 
   DayPlan plan_;
   pcg32 random_;
+  Deployment deployment_;
   std::vector<Settings> settings_;
   Time now_ = 0;
   std::uint64_t order_ = 0;
--- /dev/null
+++ b/src/protocol/counterpart_codec.cpp
@@ -0,0 +1,417 @@
+#include "protocol/counterpart_codec.hpp"
+
+#include <array>
+#include <charconv>
+
+#include "protocol/json.hpp"
+
+namespace sailreel {
+namespace {
+
+/// A writer of one JSON object, with its members' names beside their values.
+class ObjectWriter {
+ public:
+  explicit ObjectWriter(json::Writer& writer) : writer_(writer) { writer_.StartObject(); }
+  void end() { writer_.EndObject(); }
+  void text(const char* name, const std::string& value) {
+    writer_.Key(name);
+    json::put(writer_, value);
+  }
+  void number(const char* name, double value) {
+    writer_.Key(name);
+    writer_.Double(value);
+  }
+  void whole(const char* name, std::uint64_t value) {
+    writer_.Key(name);
+    writer_.Uint64(value);
+  }
+  void flag(const char* name, bool value) {
+    writer_.Key(name);
+    writer_.Bool(value);
+  }
+  void raw(const char* name, const std::string& value) {
+    writer_.Key(name);
+    writer_.RawValue(value.data(), value.size(), rapidjson::kObjectType);
+  }
+  template <typename Items, typename WriteItem>
+  void list(const char* name, const Items& items, WriteItem write_item) {
+    writer_.Key(name);
+    writer_.StartArray();
+    for (const auto& item : items) write_item(item);
+    writer_.EndArray();
+  }
+
+ private:
+  json::Writer& writer_;
+};
+
+constexpr std::array<const char*, 5> kStateWords{"pulling", "running", "flushing", "ended",
+                                                 "gathering"};
+constexpr std::array<const char*, 9> kCauseWords{
+    "", "done", "stopped", "error", "no_room", "busy", "unknown", "mates_gone", "incomplete"};
+
+void write_task(json::Writer& writer, const ReportedTask& task) {
+  ObjectWriter object(writer);
+  object.text("hand", task_name(task.key));
+  object.whole("launch", task.attempt);
+  object.text("heading", kStateWords.at(static_cast<std::size_t>(task.state)));
+  if (task.state == RunState::Exited)
+    object.text("wake", kCauseWords.at(static_cast<std::size_t>(task.cause)));
+  if (task.saved) object.flag("kept", true);
+  object.end();
+}
+
+template <typename Number>
+bool parse_number(std::string_view digits, Number& out) {
+  const char* end = digits.data() + digits.size();
+  const auto [stopped, error] = std::from_chars(digits.data(), end, out);
+  return error == std::errc() && stopped == end;
+}
+
+std::optional<Command> decode_command(const json::Value& item) {
+  Command command;
+  std::string signal, task;
+  if (!item.IsObject() || !json::get(item, "signal", signal) || !json::get(item, "hand", task) ||
+      !json::get(item, "launch", command.attempt))
+    return {};
+  const auto slash = task.rfind('/');
+  if (slash == std::string::npos ||
+      !parse_number(std::string_view(task).substr(slash + 1), command.key.index))
+    return {};
+  command.key.job = task.substr(0, slash);
+  command.op = signal == "start"  ? Command::Op::Start
+               : signal == "kill" ? Command::Op::Stop
+                                  : Command::Op::Forget;
+  json::get(item, "slack_s", command.grace_s);
+  return command;
+}
+
+/// The value of a parameter of a request's query; empty if it isn't there.
+std::string_view parameter(std::string_view path, std::string_view name) {
+  auto query = path.substr(std::min(path.find('?'), path.size()));
+  while (!query.empty()) {
+    query.remove_prefix(1);
+    const auto field = query.substr(0, query.find('&'));
+    query.remove_prefix(field.size());
+    if (field.size() > name.size() && field.starts_with(name) && field[name.size()] == '=')
+      return field.substr(name.size() + 1);
+  }
+  return {};
+}
+
+std::optional<StateCall> decode_transaction(std::string_view body) {
+  json::Document doc;
+  if (!json::parse_object(body, doc)) return {};
+  StateCall call;
+  call.kind = StateCall::Kind::Txn;
+  const json::Value* when = json::member(doc, "when");
+  const json::Value* then = json::member(doc, "then");
+  if ((when != nullptr && !when->IsArray()) || (then != nullptr && !then->IsArray())) return {};
+  if (when != nullptr)
+    for (const auto& item : when->GetArray()) {
+      StateCall::Condition condition;
+      if (!item.IsObject() || !json::get(item, "path", condition.key) ||
+          !json::get(item, "mark", condition.version))
+        return {};
+      call.conditions.push_back(std::move(condition));
+    }
+  if (then == nullptr) return call;
+  for (const auto& item : then->GetArray()) {
+    if (!item.IsObject()) return {};
+    StateCall::Put put;
+    std::string deleted;
+    if (json::get(item, "set", put.key)) {
+      const json::Value* data = json::member(item, "data");
+      if (data == nullptr) return {};
+      put.value = json::text(*data);
+      json::get(item, "mooring", put.lease);
+      call.puts.push_back(std::move(put));
+    } else if (json::get(item, "drop", deleted)) {
+      call.deletes.push_back(std::move(deleted));
+    } else {
+      return {};
+    }
+  }
+  return call;
+}
+
+std::optional<StateCall> decode_lease_call(std::string_view method, std::string_view path,
+                                           std::string_view body) {
+  constexpr std::string_view kLeases = "/leases", kRenew = "/renew";
+  StateCall call;
+  auto rest = path.substr(kLeases.size());
+  if (rest.empty()) {
+    json::Document doc;
+    std::uint64_t ttl = 0;
+    if (method != "POST" || !json::parse_object(body, doc) || !json::get(doc, "ttl_ms", ttl))
+      return {};
+    call.kind = StateCall::Kind::Grant;
+    call.ttl_ms = static_cast<Time>(ttl);
+    return call;
+  }
+  call.kind = StateCall::Kind::Revoke;
+  if (rest.ends_with(kRenew)) {
+    call.kind = StateCall::Kind::Renew;
+    rest.remove_suffix(kRenew.size());
+  }
+  if (!rest.starts_with("/") || !parse_number(rest.substr(1), call.lease)) return {};
+  const bool renews = call.kind == StateCall::Kind::Renew;
+  if (method != (renews ? "POST" : "DELETE")) return {};
+  return call;
+}
+
+void write_item(json::Writer& writer, const StateItem& item) {
+  ObjectWriter object(writer);
+  object.text("path", item.key);
+  object.raw("data", item.value);
+  object.whole("mark", item.version);
+  object.end();
+}
+
+void write_change(json::Writer& writer, const StateItem& item) {
+  ObjectWriter object(writer);
+  object.text(item.deleted ? "drop" : "set", item.key);
+  if (!item.deleted) object.raw("data", item.value);
+  object.whole("mark", item.version);
+  object.end();
+}
+
+std::string encode_state_body(const StateCall& call, const StateReply& reply) {
+  using Kind = StateCall::Kind;
+  rapidjson::StringBuffer buffer;
+  json::Writer writer(buffer);
+  if (call.kind == Kind::Get && !reply.items.empty()) {
+    write_item(writer, reply.items.front());
+    return json::text(buffer);
+  }
+  ObjectWriter object(writer);
+  if (call.kind == Kind::List) {
+    object.list("pairs", reply.items, [&](const StateItem& item) { write_item(writer, item); });
+    object.flag("has_next", reply.more);
+  } else if (call.kind == Kind::Watch) {
+    object.list("log", reply.items, [&](const StateItem& item) { write_change(writer, item); });
+  } else if (call.kind == Kind::Grant) {
+    object.whole("mooring", reply.lease);
+  }
+  object.whole("tide", reply.revision);
+  object.end();
+  return json::text(buffer);
+}
+
+std::optional<CloudCall> decode_rental(std::string_view body) {
+  json::Document doc;
+  CloudCall call;
+  call.kind = CloudCall::Kind::Rent;
+  std::uint64_t count = 0;
+  if (!json::parse_object(body, doc) || !json::get(doc, "charter", call.rental.request) ||
+      !json::get(doc, "hull", call.rental.type) || !json::get(doc, "harbor", call.rental.zone) ||
+      !json::get(doc, "how_many", count))
+    return {};
+  json::get(doc, "driftwood", call.rental.spot);
+  call.rental.count = static_cast<std::uint32_t>(count);
+  return call;
+}
+
+std::optional<CloudCall> decode_release(std::string_view body) {
+  json::Document doc;
+  CloudCall call;
+  call.kind = CloudCall::Kind::Release;
+  if (!json::parse_object(body, doc)) return {};
+  const json::Value* names = json::member(doc, "vessels");
+  if (names == nullptr || !names->IsArray()) return {};
+  for (const auto& name : names->GetArray())
+    if (name.IsString()) call.names.emplace_back(name.GetString(), name.GetStringLength());
+  return call;
+}
+
+void write_type(json::Writer& writer, const MachineType& type) {
+  ObjectWriter object(writer);
+  object.text("sku", type.name);
+  object.number("cores", type.size.cpus);
+  object.number("cards", type.size.gpus);
+  object.number("ram_gb", type.size.memory_gb);
+  object.number("cache_gb", type.cache_gb);
+  object.number("pull_gb_per_s", type.fetch_gb_per_s);
+  object.number("rate", type.price);
+  object.number("market_price", type.spot_price);
+  object.number("ready_s", type.boot_s);
+  object.list("harbors", type.zones, [&](const std::string& zone) { json::put(writer, zone); });
+  object.end();
+}
+
+void write_machine(json::Writer& writer, const ListedMachine& machine) {
+  ObjectWriter object(writer);
+  object.text("id", machine.name);
+  object.text("endpoint", machine.address);
+  object.text("hull", machine.type);
+  object.text("harbor", machine.zone);
+  object.flag("driftwood", machine.spot);
+  object.text("heading", machine.state == ListedMachine::State::Running  ? "running"
+                         : machine.state == ListedMachine::State::Failed ? "failed"
+                                                                         : "booting");
+  object.number("age_s", machine.age_s);
+  object.end();
+}
+
+std::string encode_cloud_body(const CloudCall& call, const CloudReply& reply) {
+  rapidjson::StringBuffer buffer;
+  json::Writer writer(buffer);
+  ObjectWriter object(writer);
+  switch (call.kind) {
+    case CloudCall::Kind::Types:
+      object.list("hulls", reply.types, [&](const MachineType& t) { write_type(writer, t); });
+      break;
+    case CloudCall::Kind::Rent:
+      object.list("vessels", reply.names, [&](const std::string& n) { json::put(writer, n); });
+      break;
+    case CloudCall::Kind::List:
+      object.list("vessels", reply.machines,
+                  [&](const ListedMachine& m) { write_machine(writer, m); });
+      object.flag("has_next", reply.more);
+      break;
+    case CloudCall::Kind::Release:
+      break;
+  }
+  object.end();
+  return json::text(buffer);
+}
+
+std::string error_body(const char* text) { return std::string(R"({"error":")") + text + "\"}"; }
+
+}  // namespace
+
+std::string encode_report(const Report& report) {
+  rapidjson::StringBuffer buffer;
+  json::Writer writer(buffer);
+  ObjectWriter object(writer);
+  object.text("vessel", report.machine);
+  object.text("endpoint", report.address);
+  object.text("hull", report.type);
+  object.text("harbor", report.zone);
+  object.flag("driftwood", report.spot);
+  object.whole("watch", report.session);
+  object.whole("bell", report.seq);
+  object.whole("helm", report.token);
+  if (report.notice_s) object.number("recall_s", *report.notice_s);
+  object.list("hands", report.tasks, [&](const ReportedTask& task) { write_task(writer, task); });
+  object.end();
+  return json::text(buffer);
+}
+
+std::optional<CommandBatch> decode_commands(std::string_view body) {
+  json::Document doc;
+  CommandBatch batch;
+  if (!json::parse_object(body, doc) || !json::get(doc, "helm", batch.token)) return {};
+  if (std::uint64_t session = 0; json::get(doc, "watch", session)) batch.session = session;
+  const json::Value* orders = json::member(doc, "orders");
+  if (orders == nullptr || !orders->IsArray()) return batch;
+  for (const auto& item : orders->GetArray()) {
+    auto command = decode_command(item);
+    if (!command) return {};
+    batch.commands.push_back(std::move(*command));
+  }
+  return batch;
+}
+
+std::string decode_redirect(std::string_view body) {
+  json::Document doc;
+  std::string node;
+  if (json::parse_object(body, doc)) json::get(doc, "harbormaster", node);
+  return node;
+}
+
+std::string encode_submission(const JobSpec& spec) {
+  static constexpr std::array<const char*, kPriorities> kPriority{"critical", "urgent", "standard",
+                                                                  "best_effort"};
+  rapidjson::StringBuffer buffer;
+  json::Writer writer(buffer);
+  ObjectWriter object(writer);
+  object.text("id", spec.id);
+  object.text("berth", spec.job_class);
+  object.text("crew", spec.team);
+  object.text("rig", spec.kind == JobKind::Array     ? "sweep"
+                     : spec.kind == JobKind::Service ? "service"
+                                                     : "gang");
+  object.text("precedence", kPriority.at(static_cast<std::size_t>(spec.priority)));
+  object.whole("hands", spec.tasks);
+  object.number("cores", spec.need.cpus);
+  object.number("cards", spec.need.gpus);
+  object.number("ram_gb", spec.need.memory_gb);
+  object.text("cargo", spec.image);
+  object.number("pull_gb", spec.image_gb);
+  if (!spec.any_type)
+    object.list("hulls", spec.types, [&](const std::string& type) { json::put(writer, type); });
+  if (!spec.zone.empty()) object.text("harbor", spec.zone);
+  object.flag("together", spec.one_zone);
+  object.flag("spread", spec.spread);
+  object.flag("driftwood", spec.spot);
+  object.number("voyage_s", spec.estimate_s);
+  object.number("logbook_s", spec.checkpoint_s);
+  object.number("stow_s", spec.save_s);
+  if (spec.deadline_s) object.number("landfall_s", *spec.deadline_s);
+  object.end();
+  return json::text(buffer);
+}
+
+std::string decode_job_state(std::string_view body) {
+  json::Document doc;
+  std::string state;
+  if (!json::parse_object(body, doc) || !json::get(doc, "heading", state)) return {};
+  return state;
+}
+
+std::optional<StateCall> decode_state_call(std::string_view method, std::string_view path,
+                                           std::string_view body) {
+  constexpr std::string_view kStore = "/store", kFollow = "/follow", kLeases = "/leases";
+  if (path == "/multi" && method == "POST") return decode_transaction(body);
+  if (path.starts_with(kLeases)) return decode_lease_call(method, path, body);
+  if (method != "GET") return {};
+  StateCall call;
+  call.key = parameter(path, "prefix");
+  if (path.starts_with(kFollow)) {
+    call.kind = StateCall::Kind::Watch;
+    std::uint64_t hold = 0;
+    if (!parse_number(parameter(path, "from"), call.revision)) return {};
+    parse_number(parameter(path, "hold_ms"), hold);
+    call.wait_ms = static_cast<Time>(hold);
+    return call;
+  }
+  if (!path.starts_with(kStore)) return {};
+  if (path.starts_with("/store/")) {
+    call.kind = StateCall::Kind::Get;
+    call.key = path.substr(kStore.size() + 1);
+    return call;
+  }
+  call.kind = StateCall::Kind::List;
+  call.from = parameter(path, "from");
+  parse_number(parameter(path, "limit"), call.limit);
+  return call;
+}
+
+ServiceResponse encode_state_reply(const StateCall& call, const StateReply& reply) {
+  if (reply.status == 200 || reply.status == 404)
+    return {reply.status, encode_state_body(call, reply)};
+  return {reply.status, error_body(reply.status == 400 ? "no such lease" : "trouble")};
+}
+
+std::optional<CloudCall> decode_cloud_call(std::string_view method, std::string_view path,
+                                           std::string_view body) {
+  CloudCall call;
+  if (method == "GET" && path == "/flavors") return call;
+  if (method == "GET" && path.starts_with("/machines")) {
+    call.kind = CloudCall::Kind::List;
+    call.after = parameter(path, "from");
+    parse_number(parameter(path, "limit"), call.limit);
+    return call;
+  }
+  if (method == "POST" && path == "/machines") return decode_rental(body);
+  if (method == "POST" && path == "/machines/release") return decode_release(body);
+  return {};
+}
+
+ServiceResponse encode_cloud_reply(const CloudCall& call, const CloudReply& reply) {
+  if (reply.status == 200) return {reply.status, encode_cloud_body(call, reply)};
+  return {reply.status, error_body(reply.no_capacity ? "no capacity" : "trouble")};
+}
+
+}  // namespace sailreel
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,13 +11,14 @@
 class HttpClient::Connection : public Stream {
  public:
   Connection(HttpClient& client, std::string address)
-      : Stream(client.loop_), client_(client), address_(std::move(address)) {
+      : Stream(client.loop_, &client.traffic_), client_(client), address_(std::move(address)) {
     ++client_.open_;
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
   }
 
   void send(std::string request, bool keep, Done done) {
+    ++client_.traffic_.messages_out;
     done_ = std::move(done);
     keep_ = keep;
     body_.clear();
@@ -76,6 +77,7 @@
   }
 
   void finish() {
+    ++client_.traffic_.messages_in;
     auto done = std::move(done_);
     done_ = nullptr;
     const auto status = static_cast<int>(parser_.status_code);
@@ -128,6 +130,13 @@
   c->send(std::move(text), keep, std::move(done));
 }
 
+void HttpClient::close_idle(const std::string& address) {
+  const auto it = idle_.find(address);
+  if (it == idle_.end()) return;
+  const std::vector<Connection*> idle = it->second;
+  for (Connection* c : idle) c->close();
+}
+
 void HttpClient::sweep() {
   const std::int64_t now = EventLoop::now_ms();
   std::vector<Connection*> late;
--- a/src/transport/http_client.hpp
+++ b/src/transport/http_client.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "transport/loop.hpp"
+#include "transport/traffic.hpp"
 
 namespace sailreel {
 
@@ -25,13 +26,17 @@
                const std::string& body, std::int64_t timeout_ms, bool keep, Done done);
   /// Ends the requests whose time is over.
   void sweep();
+  /// Closes the connections to that address on which no request is open.
+  void close_idle(const std::string& address);
   [[nodiscard]] std::size_t connections() const { return open_; }
+  [[nodiscard]] const Traffic& traffic() const { return traffic_; }
 
  private:
   class Connection;
   EventLoop& loop_;
   std::size_t max_connections_;
   std::size_t open_ = 0;
+  Traffic traffic_;
   std::unordered_map<std::string, std::vector<Connection*>> idle_;
   std::unordered_map<Connection*, std::int64_t> busy_;  // and when its time is over
 };
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -21,13 +21,17 @@
 class HttpServer::Connection : public Stream {
  public:
   Connection(HttpServer& server, std::uint64_t id)
-      : Stream(server.loop_), server_(server), id_(id), last_(EventLoop::now_ms()) {
+      : Stream(server.loop_, &server.traffic_),
+        server_(server),
+        id_(id),
+        last_(EventLoop::now_ms()) {
     http_parser_init(&parser_, HTTP_REQUEST);
     parser_.data = this;
   }
 
   void respond(int status, const std::string& body, int retry_after_s) {
     if (!busy_) return;
+    ++server_.traffic_.messages_out;
     busy_ = false;
     last_ = EventLoop::now_ms();
     std::string out;
@@ -125,6 +129,7 @@
   static Connection* self(http_parser* p) { return static_cast<Connection*>(p->data); }
 
   void deliver() {
+    ++server_.traffic_.messages_in;
     busy_ = true;
     request_.connection = id_;
     server_.handler_(std::move(request_));
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -9,6 +9,7 @@
 
 #include "transport/listener.hpp"
 #include "transport/loop.hpp"
+#include "transport/traffic.hpp"
 
 namespace sailreel {
 
@@ -30,6 +31,7 @@
   /// Closes connections on which nothing has happened for long.
   void sweep();
   [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+  [[nodiscard]] const Traffic& traffic() const { return traffic_; }
 
  private:
   class Connection;
@@ -40,6 +42,7 @@
   std::int64_t idle_ms_;
   Handler handler_;
   std::uint64_t next_ = 1;
+  Traffic traffic_;
   std::unordered_map<std::uint64_t, Connection*> connections_;
   Listener listener_;
 };
--- a/src/transport/stream.hpp
+++ b/src/transport/stream.hpp
@@ -8,6 +8,7 @@
 
 #include "protocol/settings.hpp"
 #include "transport/loop.hpp"
+#include "transport/traffic.hpp"
 
 namespace sailreel {
 
@@ -15,7 +16,8 @@
 /// on_closed.
 class Stream {
  public:
-  explicit Stream(EventLoop& loop) {
+  /// The bytes that pass are added to `traffic`, which must outlive the stream; null: to nothing.
+  explicit Stream(EventLoop& loop, Traffic* traffic = nullptr) : traffic_(traffic) {
     uv_tcp_init(loop.raw(), &tcp_);
     tcp_.data = this;
   }
@@ -58,12 +60,14 @@
           auto* self = static_cast<Stream*>(s->data);
           if (self->closing_ || n == 0) return;
           if (n < 0) return self->close();
+          if (self->traffic_ != nullptr) self->traffic_->bytes_in += static_cast<std::uint64_t>(n);
           self->on_bytes({buffer->base, static_cast<std::size_t>(n)});
         });
   }
 
   void write(std::string bytes) {
     if (closing_) return;
+    if (traffic_ != nullptr) traffic_->bytes_out += bytes.size();
     uv_buf_t now = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
     const int sent = uv_stream_get_write_queue_size(raw()) == 0 ? uv_try_write(raw(), &now, 1) : 0;
     if (sent == static_cast<int>(bytes.size())) return;
@@ -106,6 +110,7 @@
     std::string bytes;
   };
   uv_tcp_t tcp_{};
+  Traffic* traffic_;
   bool closing_ = false;
 };
 
--- a/tests/answers_test.cpp
+++ b/tests/answers_test.cpp
@@ -1,7 +1,7 @@
 // What users are told where troubles meet: no node may say less than another has said before.
 #include <gtest/gtest.h>
 
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/cancellation_test.cpp
+++ b/tests/cancellation_test.cpp
@@ -2,7 +2,7 @@
 // yet is answered all the same.
 #include <gtest/gtest.h>
 
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -2,7 +2,7 @@
 // reach: the rules hold, and once the troubles are over nothing is left waiting.
 #include <gtest/gtest.h>
 
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/commit_test.cpp
+++ b/tests/commit_test.cpp
@@ -1,7 +1,7 @@
 // When checkpoint rounds are committed: users first, and within the limits of the state service.
 #include <gtest/gtest.h>
 
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -2,8 +2,8 @@
 // leader, and reports made to measure.
 #include <gtest/gtest.h>
 
-#include "sim/core_driver.hpp"
-#include "sim/scenarios.hpp"
+#include "support/core_driver.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- /dev/null
+++ b/tests/counterpart_codec_test.cpp
@@ -0,0 +1,238 @@
+// What stand-ins write is read by the daemon's own codecs as it was meant, and the other way round.
+#include "protocol/counterpart_codec.hpp"
+
+#include <gtest/gtest.h>
+
+#include "protocol/cloud_codec.hpp"
+#include "protocol/state_codec.hpp"
+#include "protocol/user_codec.hpp"
+#include "protocol/worker_codec.hpp"
+
+namespace sailreel {
+namespace {
+
+TEST(CounterpartCodec, AReportIsReadAsItWasWritten) {
+  Report report;
+  report.machine = "m-000231";
+  report.address = "127.10.0.2:9000";
+  report.type = "g8";
+  report.zone = "a";
+  report.spot = true;
+  report.session = 3;
+  report.seq = 88;
+  report.token = 41;
+  report.notice_s = 7.5;
+  report.tasks.push_back({{"job-412", 3}, 2, RunState::Waiting, ExitCause::None, false});
+  report.tasks.push_back({{"job-398", 0}, 1, RunState::Exited, ExitCause::PeersGone, true});
+  const auto read = decode_report(encode_report(report));
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->machine, report.machine);
+  EXPECT_EQ(read->address, report.address);
+  EXPECT_EQ(read->type, report.type);
+  EXPECT_EQ(read->zone, report.zone);
+  EXPECT_TRUE(read->spot);
+  EXPECT_EQ(read->session, 3U);
+  EXPECT_EQ(read->seq, 88U);
+  EXPECT_EQ(read->token, 41U);
+  EXPECT_EQ(read->notice_s, 7.5);
+  ASSERT_EQ(read->tasks.size(), 2U);
+  EXPECT_EQ(task_name(read->tasks[0].key), "job-412/3");
+  EXPECT_EQ(read->tasks[0].attempt, 2U);
+  EXPECT_EQ(read->tasks[0].state, RunState::Waiting);
+  EXPECT_EQ(read->tasks[1].cause, ExitCause::PeersGone);
+  EXPECT_TRUE(read->tasks[1].saved);
+}
+
+TEST(CounterpartCodec, CommandsAreReadAsTheyWereWritten) {
+  const std::vector<Command> commands{{Command::Op::Start, {"job-1", 4}, 9, 0},
+                                      {Command::Op::Stop, {"job-2", 0}, 1, 2.5},
+                                      {Command::Op::Forget, {"job-3", 1}, 7, 0}};
+  const auto answer = decode_commands(encode_report_answer(41, commands));
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->token, 41U);
+  EXPECT_FALSE(answer->session);
+  ASSERT_EQ(answer->commands.size(), 3U);
+  EXPECT_EQ(answer->commands[0].op, Command::Op::Start);
+  EXPECT_EQ(task_name(answer->commands[0].key), "job-1/4");
+  EXPECT_EQ(answer->commands[0].attempt, 9U);
+  EXPECT_EQ(answer->commands[1].op, Command::Op::Stop);
+  EXPECT_EQ(answer->commands[1].grace_s, 2.5);
+  EXPECT_EQ(answer->commands[2].op, Command::Op::Forget);
+
+  const auto direct = decode_commands(encode_direct(41, 5, commands));
+  ASSERT_TRUE(direct);
+  EXPECT_EQ(direct->session, 5U);
+}
+
+TEST(CounterpartCodec, CommandsWithoutATokenOrWithATaskThatCannotBeReadAreRefused) {
+  EXPECT_FALSE(decode_commands(R"({"orders":[]})"));
+  EXPECT_FALSE(
+      decode_commands(R"({"helm":1,"orders":[{"signal":"start","hand":"job-1","launch":1}]})"));
+  EXPECT_FALSE(
+      decode_commands(R"({"helm":1,"orders":[{"signal":"start","hand":"job-1/x","launch":1}]})"));
+  EXPECT_FALSE(decode_commands("not JSON"));
+}
+
+TEST(CounterpartCodec, ARedirectNamesItsNode) {
+  EXPECT_EQ(decode_redirect(encode_redirect("node-2")), "node-2");
+  EXPECT_EQ(decode_redirect(encode_redirect("")), "");
+}
+
+TEST(CounterpartCodec, ASubmissionIsReadAsItWasWritten) {
+  JobSpec spec;
+  spec.id = "job-17";
+  spec.job_class = "batch";
+  spec.team = "red";
+  spec.kind = JobKind::Gang;
+  spec.priority = Priority::High;
+  spec.tasks = 4;
+  spec.need = {2, 1, 10};
+  spec.image = "img";
+  spec.image_gb = 3;
+  spec.zone = "za";
+  spec.spot = true;
+  spec.estimate_s = 12;
+  spec.checkpoint_s = 4;
+  spec.save_s = 1;
+  std::string error;
+  const auto read = decode_submission(encode_submission(spec), error);
+  ASSERT_TRUE(read) << error;
+  EXPECT_EQ(read->id, spec.id);
+  EXPECT_EQ(read->kind, JobKind::Gang);
+  EXPECT_EQ(read->priority, Priority::High);
+  EXPECT_EQ(read->tasks, 4U);
+  EXPECT_EQ(read->need, spec.need);
+  EXPECT_EQ(read->zone, "za");
+  EXPECT_TRUE(read->spot);
+  EXPECT_EQ(read->save_s, 1);
+}
+
+// The request as the daemon's codec writes it, as the stand-in reads it.
+std::optional<StateCall> through_the_wire(const StateCall& call) {
+  const HttpRequest request = encode_state(call);
+  return decode_state_call(request.method, request.path, request.body);
+}
+
+TEST(CounterpartCodec, EachKindOfStateCallIsReadAsItWasWritten) {
+  using Kind = StateCall::Kind;
+  for (const Kind kind :
+       {Kind::Get, Kind::List, Kind::Txn, Kind::Grant, Kind::Renew, Kind::Revoke, Kind::Watch}) {
+    StateCall call;
+    call.kind = kind;
+    call.key = "sailreel/x";
+    call.from = "sailreel/a";
+    call.limit = 77;
+    call.lease = 12;
+    call.revision = 431;
+    call.ttl_ms = 5'000;
+    call.wait_ms = 9'000;
+    call.conditions.push_back({"a/b", 3});
+    call.puts.push_back({"a/b", R"({"k":[1,2]})", 7});
+    call.deletes.emplace_back("c/d");
+    const auto read = through_the_wire(call);
+    ASSERT_TRUE(read) << static_cast<int>(kind);
+    EXPECT_EQ(read->kind, kind);
+    if (kind == Kind::Get || kind == Kind::List || kind == Kind::Watch) {
+      EXPECT_EQ(read->key, call.key);
+    }
+    if (kind == Kind::List) {
+      EXPECT_EQ(read->from, call.from);
+      EXPECT_EQ(read->limit, 77U);
+    }
+    if (kind == Kind::Grant) {
+      EXPECT_EQ(read->ttl_ms, 5'000);
+    }
+    if (kind == Kind::Renew || kind == Kind::Revoke) {
+      EXPECT_EQ(read->lease, 12U);
+    }
+    if (kind == Kind::Watch) {
+      EXPECT_EQ(read->revision, 431U);
+      EXPECT_EQ(read->wait_ms, 9'000);
+    }
+    if (kind != Kind::Txn) continue;
+    ASSERT_EQ(read->conditions.size(), 1U);
+    EXPECT_EQ(read->conditions[0].version, 3U);
+    ASSERT_EQ(read->puts.size(), 1U);
+    EXPECT_EQ(read->puts[0].value, R"({"k":[1,2]})");
+    EXPECT_EQ(read->puts[0].lease, 7U);
+    EXPECT_EQ(read->deletes, call.deletes);
+  }
+}
+
+TEST(CounterpartCodec, StateRepliesAreReadAsTheyWereWritten) {
+  StateCall list;
+  list.kind = StateCall::Kind::List;
+  StateReply reply;
+  reply.status = 200;
+  reply.revision = 9;
+  reply.more = true;
+  reply.items.push_back({"k/1", R"({"a":1})", 4, false});
+  ServiceResponse response = encode_state_reply(list, reply);
+  StateReply read = decode_state(list, response.status, response.body);
+  EXPECT_EQ(read.revision, 9U);
+  EXPECT_TRUE(read.more);
+  ASSERT_EQ(read.items.size(), 1U);
+  EXPECT_EQ(read.items[0].value, R"({"a":1})");
+
+  StateCall watch;
+  watch.kind = StateCall::Kind::Watch;
+  reply.items.push_back({"k/2", "", 5, true});
+  response = encode_state_reply(watch, reply);
+  read = decode_state(watch, response.status, response.body);
+  ASSERT_EQ(read.items.size(), 2U);
+  EXPECT_TRUE(read.items[1].deleted);
+
+  StateCall transaction;
+  transaction.kind = StateCall::Kind::Txn;
+  reply.status = 409;
+  response = encode_state_reply(transaction, reply);
+  EXPECT_EQ(decode_state(transaction, response.status, response.body).status, 409);
+}
+
+TEST(CounterpartCodec, CloudCallsAndRepliesAreReadAsTheyWereWritten) {
+  CloudCall rent;
+  rent.kind = CloudCall::Kind::Rent;
+  rent.rental = {"r-17", "g8", "a", true, 12};
+  HttpRequest request = encode_cloud(rent);
+  auto read = decode_cloud_call(request.method, request.path, request.body);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->rental.request, "r-17");
+  EXPECT_EQ(read->rental.count, 12U);
+  EXPECT_TRUE(read->rental.spot);
+  CloudReply refusal;
+  refusal.status = 503;
+  refusal.no_capacity = true;
+  ServiceResponse response = encode_cloud_reply(rent, refusal);
+  EXPECT_TRUE(decode_cloud(rent, response.status, response.body).no_capacity);
+
+  CloudCall list;
+  list.kind = CloudCall::Kind::List;
+  list.after = "m-000230";
+  request = encode_cloud(list);
+  read = decode_cloud_call(request.method, request.path, request.body);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->after, "m-000230");
+  CloudReply machines;
+  machines.status = 200;
+  machines.machines.push_back(
+      {ListedMachine::State::Failed, "m-1", "127.10.0.1:9000", "g8", "a", true, 61.5});
+  response = encode_cloud_reply(list, machines);
+  const CloudReply listed = decode_cloud(list, response.status, response.body);
+  ASSERT_EQ(listed.machines.size(), 1U);
+  EXPECT_EQ(listed.machines[0].state, ListedMachine::State::Failed);
+  EXPECT_EQ(listed.machines[0].age_s, 61.5);
+}
+
+TEST(CounterpartCodec, MalformedRequestsAreRefused) {
+  EXPECT_FALSE(decode_state_call("POST", "/multi", "[]"));
+  EXPECT_FALSE(decode_state_call("POST", "/multi", R"({"then":[{"put":"a"}]})"));
+  EXPECT_FALSE(decode_state_call("POST", "/leases", "{}"));
+  EXPECT_FALSE(decode_state_call("GET", "/leases/7/renew", ""));
+  EXPECT_FALSE(decode_state_call("DELETE", "/store/a", ""));
+  EXPECT_FALSE(decode_state_call("GET", "/follow?prefix=a&from=x", ""));
+  EXPECT_FALSE(decode_cloud_call("POST", "/machines", "{}"));
+  EXPECT_FALSE(decode_cloud_call("GET", "/other", ""));
+}
+
+}  // namespace
+}  // namespace sailreel
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -4,8 +4,8 @@
 
 #include <gtest/gtest.h>
 
-#include "sim/core_driver.hpp"
-#include "sim/scenarios.hpp"
+#include "support/core_driver.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/limits_test.cpp
+++ b/tests/limits_test.cpp
@@ -2,8 +2,9 @@
 // the settings say.
 #include <gtest/gtest.h>
 
-#include "sim/core_driver.hpp"
-#include "sim/scenarios.hpp"
+#include "protocol/counterpart_codec.hpp"
+#include "support/core_driver.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -123,14 +124,14 @@
   driver.set_types({sample_type()});
   driver.run_for(3'000);
   for (std::size_t n = 0; n < 60; ++n) {
-    driver.submit(submission(array(job_id(n), 8, 30)));
+    driver.submit(encode_submission(array(job_id(n), 8, 30)));
     driver.run_for(100);
   }
   driver.run_for(30'000);
   EXPECT_GT(driver.state().malformed, 0U);
   const std::uint64_t refused = driver.state().malformed;
   for (std::size_t n = 0; n < 60; ++n) {
-    driver.submit(submission(array(job_id(n), 8, 30)));
+    driver.submit(encode_submission(array(job_id(n), 8, 30)));
     driver.run_for(100);
   }
   driver.run_for(10'000);
@@ -147,9 +148,9 @@
   for (int n = 0; n < 40; ++n)
     spec.types.push_back("box" + std::string(50, 'x') + std::to_string(n));
   spec.types.emplace_back("box");
-  EXPECT_EQ(driver.submit(submission(spec)), 422);
+  EXPECT_EQ(driver.submit(encode_submission(spec)), 422);
   spec.types = {"box"};
-  EXPECT_EQ(driver.submit(submission(spec)), 201);
+  EXPECT_EQ(driver.submit(encode_submission(spec)), 201);
 }
 
 // Names as long as they may be: more than the head has room for beside the rest.
@@ -167,7 +168,7 @@
   for (int n = 0; n < 8; ++n) spec.types.push_back(std::string(100, 't') + std::to_string(n));
   for (std::size_t n = 1; n < 6; ++n) {
     spec.id = job_id(n);
-    driver.submit(submission(spec));
+    driver.submit(encode_submission(spec));
     driver.run_for(1'000);
   }
   EXPECT_EQ(driver.state().malformed, 0U);
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -3,7 +3,7 @@
 
 #include <cstdio>
 
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/takeover_test.cpp
+++ b/tests/takeover_test.cpp
@@ -3,7 +3,7 @@
 // users look closely all the time. Afterwards nothing may be left waiting or unanswered.
 #include <gtest/gtest.h>
 
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 
 #include "production/production_controller.hpp"
-#include "sim/scenarios.hpp"
+#include "support/scenarios.hpp"
 
 namespace sailreel::sim {
 namespace {
--- /dev/null
+++ b/tools/scale/deployment.cpp
@@ -0,0 +1,203 @@
+#include "scale/deployment.hpp"
+
+#include "protocol/json.hpp"
+
+namespace sailreel::scale {
+namespace {
+
+constexpr int kFirstNetwork = 10;
+/// Requests that a worker or a user may have open at once, beside its connection.
+constexpr std::uint64_t kSocketsPerWorker = 4;
+constexpr std::uint64_t kOtherSockets = 600;
+constexpr double kCancelLeases = 2.5;
+constexpr double kListLagS = 2;
+constexpr double kCacheGb = 400;
+constexpr double kFetchGbPerS = 10;
+
+std::string network(int region) { return "127." + std::to_string(kFirstNetwork + region) + "."; }
+
+std::string controller_address(int region, std::uint32_t controller, const char* port) {
+  return network(region) + "0." + std::to_string(controller + 1) + port;
+}
+
+std::string controller_name(const Region& region, std::uint32_t controller) {
+  return region.name() + "-" + std::to_string(controller);
+}
+
+std::string controller_zone(const Region& region, std::uint32_t controller) {
+  return region.zone(static_cast<int>(controller) % region.zone_size());
+}
+
+void add_services(const Fleet& fleet, int region, Settings& settings) {
+  settings.cloud = cloud_address(region);
+  settings.state = state_address(region);
+  settings.workers.report_s = fleet.report_s();
+  settings.workers.lease_s = fleet.lease_s();
+  settings.workers.cancel_s = kCancelLeases * fleet.lease_s();
+  settings.store.rps = fleet.state_rps();
+  settings.store.write_rps = fleet.state_write_rps();
+  settings.store.value_kb = 8;
+  settings.store.txn_ops = 16;
+  settings.market.rps = fleet.cloud_rps();
+  settings.market.list_lag_s = kListLagS;
+}
+
+Settings controller_settings(const Plan& plan, int index, std::uint32_t controller) {
+  const Region& region = plan.region(index);
+  Settings settings;
+  settings.name = controller_name(region, controller);
+  settings.zone = controller_zone(region, controller);
+  settings.listen = controller_address(index, controller, ":8080");
+  settings.peer_listen = controller_address(index, controller, ":8081");
+  for (std::uint32_t other = 0; other < region.controllers(); ++other)
+    if (other != controller)
+      settings.siblings.push_back({controller_name(region, other), controller_zone(region, other),
+                                   controller_address(index, other, ":8081")});
+  for (const std::string& zone : region.zone()) settings.zones.push_back(zone);
+  for (std::uint32_t team = 0; team < plan.fleet().teams(); ++team)
+    settings.teams.push_back({team_name(team), 0, 0, 0, plan.fleet().team_gpus_max()});
+  add_services(plan.fleet(), index, settings);
+  settings.limits.cpu = plan.fleet().controller_cores();
+  settings.limits.memory_mb = plan.fleet().controller_memory_mb();
+  settings.limits.sockets = kSocketsPerWorker * region.workers() + kOtherSockets;
+  return settings;
+}
+
+MachineType machine_type(const Plan& plan, const Region& region) {
+  MachineType type;
+  type.name = "hollow";
+  type.size = {plan.fleet().cpus(), plan.fleet().gpus(), plan.fleet().memory_gb()};
+  type.cache_gb = kCacheGb;
+  type.fetch_gb_per_s = kFetchGbPerS;
+  type.price = 10;
+  type.spot_price = 4;
+  type.boot_s = plan.fleet().boot_s();
+  for (const std::string& zone : region.zone()) type.zones.push_back(zone);
+  return type;
+}
+
+/// Writes the members of a JSON object one by one.
+class Members {
+ public:
+  explicit Members(json::Writer& writer) : writer_(writer) {}
+  void begin(const char* name) {
+    writer_.Key(name);
+    writer_.StartObject();
+  }
+  void end() { writer_.EndObject(); }
+  void begin_list(const char* name) {
+    writer_.Key(name);
+    writer_.StartArray();
+  }
+  void text(const char* name, const std::string& value) {
+    writer_.Key(name);
+    json::put(writer_, value);
+  }
+  void number(const char* name, double value) {
+    writer_.Key(name);
+    writer_.Double(value);
+  }
+  void whole(const char* name, std::uint64_t value) {
+    writer_.Key(name);
+    writer_.Uint64(value);
+  }
+
+ private:
+  json::Writer& writer_;
+};
+
+void write_fleet(json::Writer& writer, const Settings& settings) {
+  Members members(writer);
+  members.begin("settings");
+  members.whole("initial_size", settings.siblings.size() + 1);
+  members.begin_list("zones");
+  for (const std::string& zone : settings.zones) json::put(writer, zone);
+  writer.EndArray();
+  members.begin_list("teams");
+  for (const Team& team : settings.teams) {
+    writer.StartObject();
+    members.text("name", team.name);
+    members.number("cpus", team.cpus);
+    members.number("cpus_max", team.cpus_max);
+    members.number("gpus", team.gpus);
+    members.number("gpus_max", team.gpus_max);
+    writer.EndObject();
+  }
+  writer.EndArray();
+  members.begin("workers");
+  members.number("report_s", settings.workers.report_s);
+  members.number("lease_s", settings.workers.lease_s);
+  members.number("cancel_s", settings.workers.cancel_s);
+  members.end();
+  members.begin("state");
+  members.number("rps", settings.store.rps);
+  members.number("write_rps", settings.store.write_rps);
+  members.number("value_kb", settings.store.value_kb);
+  members.whole("txn_ops", settings.store.txn_ops);
+  members.end();
+  members.begin("cloud");
+  members.number("rps", settings.market.rps);
+  members.number("list_lag_s", settings.market.list_lag_s);
+  members.end();
+  members.begin("resources");
+  members.number("cpu", settings.limits.cpu);
+  members.number("memory_mb", settings.limits.memory_mb);
+  members.whole("fd_limit", settings.limits.sockets);
+  members.end();
+  members.number("clock_error_ms", 5);
+  members.end();
+}
+
+}  // namespace
+
+std::string state_address(int region) { return network(region) + "255.1:2379"; }
+std::string cloud_address(int region) { return network(region) + "255.2:8443"; }
+std::string worker_address_prefix(int region) { return network(region); }
+std::string team_name(std::uint32_t team) { return "team-" + std::to_string(team); }
+
+sim::Deployment make_deployment(const Plan& plan, int region) {
+  const Region& there = plan.region(region);
+  sim::Deployment out;
+  for (std::uint32_t controller = 0; controller < there.controllers(); ++controller)
+    out.controllers.push_back(controller_settings(plan, region, controller));
+  out.types = {machine_type(plan, there)};
+  const auto zones = static_cast<std::uint32_t>(there.zone_size());
+  for (std::uint32_t zone = 0; zone < zones; ++zone) {
+    const std::uint32_t rest = zone < there.workers() % zones ? 1 : 0;
+    out.capacity[{there.zone(static_cast<int>(zone)), false}] = there.workers() / zones + rest;
+  }
+  out.state_rps = plan.fleet().state_rps();
+  out.state_write_rps = plan.fleet().state_write_rps();
+  out.one_in_never_up = 0;
+  out.worker_address_prefix = worker_address_prefix(region);
+  return out;
+}
+
+std::string settings_file(const Settings& settings) {
+  rapidjson::StringBuffer buffer;
+  json::Writer writer(buffer);
+  Members members(writer);
+  writer.StartObject();
+  members.text("label", settings.name);
+  members.text("area", settings.zone);
+  members.text("listen", settings.listen);
+  members.text("peer_listen", settings.peer_listen);
+  members.begin_list("siblings");
+  for (const Sibling& sibling : settings.siblings) {
+    writer.StartObject();
+    members.text("label", sibling.name);
+    members.text("area", sibling.zone);
+    members.text("endpoint", sibling.address);
+    writer.EndObject();
+  }
+  writer.EndArray();
+  members.begin("external");
+  members.text("cloud", settings.cloud);
+  members.text("state", settings.state);
+  members.end();
+  write_fleet(writer, settings);
+  writer.EndObject();
+  return json::text(buffer);
+}
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/deployment.hpp
@@ -0,0 +1,24 @@
+// Addresses of a scale run, and the deployment of each of its regions.
+#pragma once
+
+#include <string>
+
+#include "scale/plan.hpp"
+#include "sim/world.hpp"
+
+namespace sailreel::scale {
+
+/// Each region has a part of 127.0.0.0/8 of its own.
+std::string state_address(int region);
+std::string cloud_address(int region);
+std::string worker_address_prefix(int region);
+
+std::string team_name(std::uint32_t team);
+
+/// The model's view of a region.
+sim::Deployment make_deployment(const Plan& plan, int region);
+
+/// A controller's settings file, as the platform writes it.
+std::string settings_file(const Settings& settings);
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/main.cpp
@@ -0,0 +1,115 @@
+// sailreel-scale: plays a plan with real controllers and hollow workers on loopback addresses.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <optional>
+
+#include "scale/limits.hpp"
+#include "scale/plan.hpp"
+#include "scale/region_process.hpp"
+#include "scale/run.hpp"
+
+namespace {
+
+namespace scale = sailreel::scale;
+
+constexpr int kRuleBroken = 1;
+constexpr int kBadPlan = 2;
+constexpr int kNotPlayed = 3;
+
+/// A folder for settings files and logs, which is gone when the run is over.
+class RunDirectory {
+ public:
+  explicit RunDirectory(std::string wanted) : path_(std::move(wanted)), kept_(!path_.empty()) {
+    if (kept_) {
+      std::filesystem::create_directories(path_);
+      return;
+    }
+    std::string pattern =
+        (std::filesystem::temp_directory_path() / "sailreel-scale-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr)
+      throw std::runtime_error("cannot make a folder for the run");
+    path_ = pattern;
+  }
+  ~RunDirectory() {
+    std::error_code ignored;
+    if (!kept_) std::filesystem::remove_all(path_, ignored);
+  }
+  RunDirectory(const RunDirectory&) = delete;
+  RunDirectory& operator=(const RunDirectory&) = delete;
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+  bool kept_;
+};
+
+int play(const scale::Plan& plan, scale::RunOptions options, const std::string& report_path,
+         const std::string& directory) {
+  scale::check_machine(plan);
+  const RunDirectory folder(directory);
+  options.directory = folder.path();
+  options.progress = isatty(STDERR_FILENO) != 0;
+  const bool progress = options.progress;
+  scale::Run run(plan, std::move(options));
+  const scale::RunReport report = run.run();
+  if (progress) std::cerr << '\n';
+  std::cout << scale::report_table(report);
+  if (!report_path.empty()) {
+    std::ofstream file(report_path);
+    file << scale::report_json(report);
+    if (!file.flush()) throw std::runtime_error("cannot write " + report_path);
+  }
+  if (report.rules_broken() > 0) return kRuleBroken;
+  return report.failure().empty() ? 0 : kNotPlayed;
+}
+
+}  // namespace
+
+// NOLINTNEXTLINE(bugprone-exception-escape): CLI11 may throw anything; that ends the process
+int main(int argc, char** argv) {
+  CLI::App app{
+      "Plays a plan with real controllers and hollow workers on loopback addresses.\n"
+      "Exit status: 0 played without a broken rule, 1 a rule was broken, 2 a bad plan or a\n"
+      "machine that is too small, 3 not played to the end."};
+  std::string plan_path, report_path, directory;
+  std::string controller =
+      (std::filesystem::read_symlink("/proc/self/exe").parent_path() / "sailreel").string();
+  std::optional<int> region;
+  sailreel::Time begin_ms = 0;
+  app.add_option("--plan", plan_path, "Plan (protobuf text format)")->required();
+  app.add_option("--report", report_path, "Where the report goes (JSON)");
+  app.add_option("--controller", controller, "Program of the controllers");
+  app.add_option("--directory", directory, "Keep settings files and logs in this folder");
+  app.add_option("--region", region)->group("");
+  app.add_option("--begin-ms", begin_ms)->group("");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e) == 0 ? 0 : kBadPlan;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    const scale::Plan plan = scale::load_plan(plan_path);
+    if (region) {
+      scale::RegionProcess(plan, {*region, controller, directory, begin_ms}).run();
+      return 0;
+    }
+    scale::RunOptions options;
+    options.program = std::filesystem::read_symlink("/proc/self/exe").string();
+    options.plan_path = plan_path;
+    options.controller = controller;
+    return play(plan, std::move(options), report_path, directory);
+  } catch (const scale::PlanError& e) {
+    std::cerr << "sailreel-scale: " << e.what() << '\n';
+    return kBadPlan;
+  } catch (const std::exception& e) {
+    std::cerr << "sailreel-scale: " << e.what() << '\n';
+    return kNotPlayed;
+  }
+}
--- /dev/null
+++ b/tools/scale/region_process.cpp
@@ -0,0 +1,321 @@
+#include "scale/region_process.hpp"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+#include "protocol/counterpart_codec.hpp"
+#include "protocol/user_codec.hpp"
+#include "scale/deployment.hpp"
+
+namespace sailreel::scale {
+namespace {
+
+constexpr Time kClockStepMs = 2;
+constexpr Time kSampleMs = 250;
+constexpr Time kSweepMs = 100;
+constexpr Time kReportTimeoutMs = 4'000;
+constexpr Time kUserTimeoutMs = 5'000;
+constexpr Time kIdleMs = 120'000;
+/// The work begins when the controllers have had time to elect a leader.
+constexpr Time kWorkBeginsMs = 3'000;
+constexpr std::size_t kUserConnections = 1'000;
+constexpr std::size_t kServiceConnections = 4'000;
+constexpr std::size_t kWorkerConnections = 16;
+constexpr std::size_t kMaxServiceBody = std::size_t{256} * 1024;
+constexpr std::size_t kMostNamed = 5;
+
+TrafficCounts as_message(const Traffic& traffic) {
+  TrafficCounts out;
+  out.set_messages_in(traffic.messages_in);
+  out.set_messages_out(traffic.messages_out);
+  out.set_bytes_in(traffic.bytes_in);
+  out.set_bytes_out(traffic.bytes_out);
+  return out;
+}
+
+sim::DayPlan day_plan(const Plan& plan, int region) {
+  sim::DayPlan day;
+  day.seed = plan.seed() * 1000 + static_cast<std::uint64_t>(region);
+  day.length = static_cast<Time>(plan.seconds()) * 1000;
+  day.jobs = 0;
+  day.troubles = false;
+  day.loss = 0;
+  day.late_copies = 0;
+  day.over_sockets = true;
+  day.report_s = plan.fleet().report_s();
+  day.lease_s = plan.fleet().lease_s();
+  day.deployment = make_deployment(plan, region);
+  day.cancel_s = day.deployment->controllers.front().workers.cancel_s;
+  day.boots_ms = ms(plan.fleet().boot_s());
+  return day;
+}
+
+}  // namespace
+
+RegionProcess::RegionProcess(const Plan& plan, RegionOptions options)
+    : plan_(plan),
+      options_(std::move(options)),
+      users_(loop_, kUserConnections),
+      state_(std::make_unique<HttpServer>(
+          loop_, state_address(options_.region), kServiceConnections, kMaxServiceBody, kIdleMs,
+          [this](const ServerRequest& request) { serve_state(request); })),
+      cloud_(std::make_unique<HttpServer>(
+          loop_, cloud_address(options_.region), kServiceConnections, kMaxServiceBody, kIdleMs,
+          [this](const ServerRequest& request) { serve_cloud(request); })),
+      clock_timer_(loop_, [this] { advance(); }),
+      sample_timer_(loop_, [this] { sample(); }),
+      sweep_timer_(loop_, [this] { sweep(); }) {
+  sim::DayPlan day = day_plan(plan_, options_.region);
+  day.controllers = [this](std::size_t node, const Settings& settings, std::uint64_t) {
+    return start_controller(node, settings);
+  };
+  world_ = std::make_unique<sim::World>(day);
+  workload_ = std::make_unique<Workload>(plan_, options_.region, *world_, kWorkBeginsMs);
+  world_->on_started = [this](const TaskKey& key) { workload_->task_started(key, world_->now()); };
+  plan_faults();
+}
+
+RegionProcess::~RegionProcess() = default;
+
+Time RegionProcess::elapsed() const { return EventLoop::now_ms() - options_.begin_ms; }
+
+void RegionProcess::run() {
+  clock_timer_.set(kClockStepMs);
+  sample_timer_.set(std::max<Time>(0, kSampleMs - elapsed()));
+  sweep_timer_.set(kSweepMs);
+  loop_.run();
+}
+
+std::unique_ptr<sim::Controller> RegionProcess::start_controller(std::size_t node,
+                                                                 const Settings& settings) {
+  const std::string base = options_.directory + "/" + settings.name;
+  std::ofstream(base + ".json") << settings_file(settings);
+  ChildOutput output;
+  output.log_file = base + ".log";
+  auto process = std::make_unique<ChildProcess>(
+      loop_, std::vector<std::string>{options_.program, "--config", base + ".json"}, output,
+      [this, node, name = settings.name](int status, int signal) {
+        RegionMessage message;
+        message.set_controller_ended(static_cast<std::uint32_t>(node));
+        tell(message);
+        std::fprintf(stderr, "sailreel-scale: %s ended by itself, status %d, signal %d\n",
+                     name.c_str(), status, signal);
+      });
+  RegionMessage message;
+  message.set_controller_started(static_cast<std::uint32_t>(process->pid()));
+  tell(message);
+  return std::make_unique<RemoteController>(*this, node, settings.listen, std::move(process));
+}
+
+RegionProcess::WorkerSockets& RegionProcess::worker_sockets(const std::string& machine) {
+  WorkerSockets& sockets = workers_[machine];
+  if (sockets.client) return sockets;
+  sockets.client = std::make_unique<HttpClient>(loop_, kWorkerConnections);
+  const std::string address = world_->cloud().machines.at(machine).address;
+  sockets.server =
+      std::make_unique<HttpServer>(loop_, address, kWorkerConnections, kMaxServiceBody, kIdleMs,
+                                   [this, machine](const ServerRequest& request) {
+                                     serve_worker(machine, *workers_.at(machine).server, request);
+                                   });
+  return sockets;
+}
+
+void RegionProcess::send_report(const std::string& machine, const std::string& address,
+                                const std::string& body,
+                                std::function<void(int, std::string)> done) {
+  if (!world_->cloud().machines.contains(machine)) return;
+  WorkerSockets& sockets = worker_sockets(machine);
+  if (sockets.reports_to != address) sockets.client->close_idle(sockets.reports_to);
+  sockets.reports_to = address;
+  sockets.client->request(address, "POST", "/hello", body, kReportTimeoutMs, true,
+                          [done = std::move(done)](int status, std::string_view answer) {
+                            done(status, std::string(answer));
+                          });
+}
+
+void RegionProcess::send_user_request(const std::string& address, const UserRequest& request,
+                                      std::function<void(int, std::string)> done) {
+  const std::string job = "/v1/jobs/" + request.id;
+  const bool query = request.op == UserOp::Query;
+  const std::string path = request.op == UserOp::Submit ? "/v1/jobs"
+                           : query                      ? job
+                                                        : job + "/withdraw";
+  const std::string body = request.op == UserOp::Submit ? request.body : query ? "" : "{}";
+  users_.request(address, query ? "GET" : "POST", path, body, kUserTimeoutMs, true,
+                 [done = std::move(done)](int status, std::string_view answer) {
+                   done(status, std::string(answer));
+                 });
+}
+
+void RegionProcess::answered(std::size_t node, const Answer& answer) {
+  world_->deliver(node, answer);
+  advance();
+}
+
+void RegionProcess::serve_state(const ServerRequest& request) {
+  const auto call = decode_state_call(request.method, request.path, request.body);
+  if (!call) return state_->respond(request.connection, 400, encode_error("malformed"), 0);
+  state_writes_ += call->puts.size() + call->deletes.size();
+  world_->state().handle(
+      *call, false, world_->now(),
+      [this, call = *call, connection = request.connection](const StateReply& reply) {
+        const ServiceResponse response = encode_state_reply(call, reply);
+        state_->respond(connection, response.status, response.body, 0);
+      });
+}
+
+void RegionProcess::serve_cloud(const ServerRequest& request) {
+  const auto call = decode_cloud_call(request.method, request.path, request.body);
+  if (!call) return cloud_->respond(request.connection, 400, encode_error("malformed"), 0);
+  const ServiceResponse response =
+      encode_cloud_reply(*call, world_->cloud().handle(*call, world_->now()));
+  cloud_->respond(request.connection, response.status, response.body, 0);
+  advance();
+}
+
+void RegionProcess::serve_worker(const std::string& machine, HttpServer& server,
+                                 const ServerRequest& request) {
+  const std::uint64_t connection = request.connection;
+  const auto respond = [&server, connection](int status, const Report& report) {
+    server.respond(connection, status,
+                   status == 400 ? encode_error("malformed") : encode_report(report), 0);
+  };
+  if (request.method == "GET" && request.path == "/inspect")
+    world_->inspect(machine, respond);
+  else if (request.method == "POST" && request.path == "/do")
+    world_->command(machine, request.body, respond);
+  else
+    server.respond(connection, 404, encode_error("no such path"), 0);
+  advance();
+}
+
+void RegionProcess::plan_faults() {
+  const std::string& here = plan_.region(options_.region).name();
+  for (const Fault& fault : plan_.fault())
+    if (fault.region() == here) world_->at(ms(fault.at_s()), [this, &fault] { inject(fault); });
+}
+
+void RegionProcess::inject(const Fault& fault) {
+  const Time span = ms(fault.for_s());
+  switch (fault.kind()) {
+    case Fault::CONTROLLER_KILLED:
+      return world_->kill(fault.controller(), span);
+    case Fault::STATE_SERVICE_DOWN:
+      return world_->state_outage(span);
+    case Fault::ZONE_WORKERS_GONE:
+      return remove_zone_workers(fault.zone());
+    case Fault::REGION_CUT:
+      return;  // the links between regions are the main process's
+  }
+}
+
+void RegionProcess::remove_zone_workers(const std::string& zone) {
+  std::vector<std::string> gone;
+  for (const auto& [name, machine] : world_->cloud().machines)
+    if (machine.zone == zone) gone.push_back(name);
+  for (const std::string& name : gone) {
+    world_->cloud().machines.erase(name);
+    world_->kill_machine(name);
+  }
+}
+
+void RegionProcess::advance() {
+  if (advancing_) return;
+  advancing_ = true;
+  const Time now = elapsed();
+  late_ms_max_ = std::max(late_ms_max_, now - world_->now() - kClockStepMs);
+  if (now > world_->now()) world_->run_until(now);
+  advancing_ = false;
+  if (now >= static_cast<Time>(plan_.seconds()) * 1000) return finish();
+  clock_timer_.set(kClockStepMs);
+}
+
+void RegionProcess::sample() {
+  const Time now = elapsed();
+  next_sample_ = static_cast<std::uint64_t>(now / kSampleMs);
+  sample_timer_.set((static_cast<Time>(next_sample_) + 1) * kSampleMs - now);
+  const auto workers = static_cast<std::uint32_t>(world_->machines_up().size());
+  worker_seconds_ += workers * (static_cast<double>(kSampleMs) / 1000);
+  RegionMessage message;
+  Progress& progress = *message.mutable_progress();
+  const sim::Checker& checker = world_->checker();
+  progress.set_workers(workers);
+  progress.set_tasks_running(checker.tasks_running());
+  progress.set_starts(checker.starts());
+  std::uint32_t broken = 0;
+  for (const auto& [rule, cases] : checker.violations())
+    broken += static_cast<std::uint32_t>(cases.size());
+  progress.set_rules_broken(broken);
+  progress.set_sample(next_sample_);
+  for (std::uint32_t team = 0; team < plan_.fleet().teams(); ++team)
+    progress.add_team_gpus(checker.used_by(team_name(team)).gpus);
+  tell(message);
+}
+
+void RegionProcess::sweep() {
+  users_.sweep();
+  for (auto& [machine, sockets] : workers_) sockets.client->sweep();
+  sweep_timer_.set(kSweepMs);
+  // The main process is gone: nobody would read what follows.
+  if (getppid() == 1) {
+    world_.reset();
+    std::exit(1);
+  }
+}
+
+void RegionProcess::tell(const RegionMessage& message) {
+  const std::string bytes = frame_message(message);
+  for (std::size_t sent = 0; sent < bytes.size();) {
+    const ssize_t written = write(STDOUT_FILENO, bytes.data() + sent, bytes.size() - sent);
+    if (written <= 0) return;
+    sent += static_cast<std::size_t>(written);
+  }
+}
+
+void RegionProcess::finish() {
+  world_->checker().end();
+  RegionMessage message;
+  *message.mutable_result() = result();
+  tell(message);
+  world_.reset();  // ends the controllers
+  std::exit(0);
+}
+
+RegionResult RegionProcess::result() {
+  RegionResult out;
+  const sim::Checker& checker = world_->checker();
+  out.set_region(plan_.region(options_.region).name());
+  for (const auto& [rule, cases] : checker.violations()) {
+    (*out.mutable_rules())[rule] = static_cast<std::uint32_t>(cases.size());
+    for (std::size_t n = 0; n < std::min(cases.size(), kMostNamed); ++n)
+      out.add_broken(rule + " " + cases[n]);
+  }
+  out.set_starts(checker.starts());
+  out.set_jobs(checker.jobs());
+  out.set_jobs_over(checker.jobs_over());
+  out.set_reports(world_->reports());
+  out.set_worker_seconds(worker_seconds_);
+  Traffic workers;
+  for (const auto& [machine, sockets] : workers_) {
+    workers += sockets.client->traffic();
+    workers += sockets.server->traffic();
+  }
+  *out.mutable_workers() = as_message(workers);
+  *out.mutable_users() = as_message(users_.traffic());
+  *out.mutable_state() = as_message(state_->traffic());
+  *out.mutable_cloud() = as_message(cloud_->traffic());
+  out.set_state_writes(state_writes_);
+  out.set_refused_writes(world_->state().refused_writes);
+  out.set_unanswered_submissions(world_->unanswered_submissions());
+  for (const Time delay : world_->submission_delays())
+    out.add_submission_ms(static_cast<std::uint32_t>(delay));
+  for (const std::uint32_t wait : workload_->urgent_waits()) out.add_urgent_ms(wait);
+  out.set_urgent_waiting(workload_->urgent_waiting(world_->now(), kUserTimeoutMs));
+  out.set_late_ms_max(static_cast<std::uint32_t>(std::max<Time>(0, late_ms_max_)));
+  return out;
+}
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/region_process.hpp
@@ -0,0 +1,84 @@
+// The process of one region: its controllers as processes, and everything around them as a model
+// behind sockets (state service, cloud, workers, users).
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "scale/child_process.hpp"
+#include "scale/message_stream.hpp"
+#include "scale/plan.hpp"
+#include "scale/remote_controller.hpp"
+#include "scale/workload.hpp"
+#include "sim/world.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+#include "transport/loop.hpp"
+
+namespace sailreel::scale {
+
+struct RegionOptions {
+  int region = 0;
+  std::string program;    // of a controller
+  std::string directory;  // for settings files and logs
+  Time begin_ms = 0;      // on the steady clock, the same for all regions
+};
+
+class RegionProcess : public RegionSockets {
+ public:
+  RegionProcess(const Plan& plan, RegionOptions options);
+  ~RegionProcess() override;
+  RegionProcess(const RegionProcess&) = delete;
+  RegionProcess& operator=(const RegionProcess&) = delete;
+
+  /// Until the plan's end, or until the main process ends.
+  void run();
+
+ private:
+  /// A hollow worker's sockets.
+  struct WorkerSockets {
+    std::unique_ptr<HttpClient> client;
+    std::unique_ptr<HttpServer> server;
+    std::string reports_to;
+  };
+
+  void send_report(const std::string& machine, const std::string& address, const std::string& body,
+                   std::function<void(int, std::string)> done) override;
+  void send_user_request(const std::string& address, const UserRequest& request,
+                         std::function<void(int, std::string)> done) override;
+  void answered(std::size_t node, const Answer& answer) override;
+
+  std::unique_ptr<sim::Controller> start_controller(std::size_t node, const Settings& settings);
+  WorkerSockets& worker_sockets(const std::string& machine);
+  void serve_state(const ServerRequest& request);
+  void serve_cloud(const ServerRequest& request);
+  void serve_worker(const std::string& machine, HttpServer& server, const ServerRequest& request);
+  void plan_faults();
+  void inject(const Fault& fault);
+  void remove_zone_workers(const std::string& zone);
+  void advance();
+  void sample();
+  void sweep();
+  void tell(const RegionMessage& message);
+  void finish();
+  [[nodiscard]] RegionResult result();
+  [[nodiscard]] Time elapsed() const;
+
+  const Plan plan_;
+  const RegionOptions options_;
+  EventLoop loop_;
+  HttpClient users_;
+  std::unique_ptr<HttpServer> state_, cloud_;
+  std::map<std::string, WorkerSockets> workers_;
+  std::unique_ptr<sim::World> world_;
+  std::unique_ptr<Workload> workload_;
+  Timer clock_timer_, sample_timer_, sweep_timer_;
+  bool advancing_ = false;
+  std::uint64_t next_sample_ = 0;
+  double worker_seconds_ = 0;
+  std::uint64_t state_writes_ = 0;
+  Time late_ms_max_ = 0;
+};
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/report_builder.hpp
@@ -0,0 +1,77 @@
+// Gathers what the processes of a scale run say and take, and makes the report of it.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/messages.hpp"
+#include "scale/plan.hpp"
+#include "scale/process_stats.hpp"
+
+namespace sailreel::scale {
+
+enum class ProcessRole : std::uint8_t { Main, Region, Controller };
+
+class ReportBuilder {
+ public:
+  explicit ReportBuilder(const Plan& plan);
+
+  void process_started(int pid, ProcessRole role, const std::string& region);
+  void progress(int region, const Progress& progress);
+  void result(const RegionResult& result);
+  void failed(const std::string& what);
+
+  /// Looks at all processes and at the machine; to be called every second.
+  void sample_processes();
+  [[nodiscard]] double memory_mb() const { return memory_mb_; }
+  [[nodiscard]] std::uint32_t processes() const { return running_; }
+  /// Ids of controllers that still run.
+  [[nodiscard]] std::vector<int> controllers_running() const;
+
+  RunReport finish();
+
+ private:
+  struct Process {
+    ProcessRole role = ProcessRole::Main;
+    std::string region;
+    bool running = true;
+    double first_cpu_s = 0, cpu_s = 0, memory_peak_mb = 0;
+    /// Processor time at the last sample before this one.
+    bool seen = false;
+  };
+  /// What the regions said of one moment.
+  struct Moment {
+    std::set<int> regions;
+    std::uint32_t workers = 0, tasks = 0;
+    std::uint64_t starts = 0;
+    std::vector<double> team_gpus;
+  };
+  void take_moment(std::uint64_t number, const Moment& moment);
+  void add_roles(RunReport& report);
+  Role& add_role(RunReport& report, const std::string& name) const;
+  void add_service(RunReport& report, const std::string& name, const TrafficCounts& traffic) const;
+  void add_worker_share(RunReport& report) const;
+
+  const Plan plan_;
+  RunReport report_;
+  std::map<int, Process> processes_;
+  std::map<std::uint64_t, Moment> moments_;
+  std::map<std::uint64_t, std::uint64_t> starts_at_;  // a second's first sample
+  std::vector<double> submission_ms_, urgent_ms_;
+  TrafficCounts workers_, users_, state_, cloud_;
+  std::uint64_t reports_ = 0;
+  double worker_seconds_ = 0;
+  double memory_mb_ = 0;
+  std::uint32_t running_ = 0;
+  std::uint32_t seconds_sampled_ = 0;
+  MachineStats machine_;
+};
+
+/// The report for people.
+std::string report_table(const RunReport& report);
+/// The report as JSON.
+std::string report_json(const RunReport& report);
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/run.cpp
@@ -0,0 +1,141 @@
+#include "scale/run.hpp"
+
+#include <csignal>
+#include <cstdio>
+
+#include "scale/limits.hpp"
+
+namespace sailreel::scale {
+namespace {
+
+constexpr Time kWatchMs = 1'000;
+/// From the start of the regions' processes to the beginning of their day.
+constexpr Time kStartMs = 1'000;
+/// A region that hasn't ended so long after the plan's end never will.
+constexpr Time kOverdueMs = 30'000;
+
+}  // namespace
+
+Run::Run(const Plan& plan, RunOptions options)
+    : plan_(plan),
+      options_(std::move(options)),
+      report_(plan_),
+      regions_(static_cast<std::size_t>(plan_.region_size())),
+      watch_timer_(loop_, [this] { watch(); }) {}
+
+Run::~Run() = default;
+
+RunReport Run::run() {
+  report_.process_started(getpid(), ProcessRole::Main, {});
+  start_regions();
+  watch_timer_.set(kWatchMs);
+  uv_signal_t interrupt{}, terminate{};
+  for (auto* handle : {&interrupt, &terminate}) {
+    uv_signal_init(loop_.raw(), handle);
+    handle->data = this;
+    uv_signal_start(
+        handle,
+        [](uv_signal_t* signal, int number) {
+          static_cast<Run*>(signal->data)->stop("ended by signal " + std::to_string(number));
+        },
+        handle == &interrupt ? SIGINT : SIGTERM);
+  }
+  while (!over_) uv_run(loop_.raw(), UV_RUN_ONCE);
+  regions_.clear();
+  for (const int pid : report_.controllers_running()) ::kill(pid, SIGKILL);
+  for (auto* handle : {&interrupt, &terminate})
+    uv_close(reinterpret_cast<uv_handle_t*>(handle), nullptr);
+  for (int turn = 0; turn < 8; ++turn) uv_run(loop_.raw(), UV_RUN_NOWAIT);
+  return report_.finish();
+}
+
+void Run::stop(const std::string& why) {
+  report_.failed(why);
+  over_ = true;
+}
+
+void Run::start_regions() {
+  begin_ms_ = EventLoop::now_ms() + kStartMs;
+  for (int region = 0; region < plan_.region_size(); ++region) {
+    ChildOutput output;
+    output.log_file = options_.directory + "/" + plan_.region(region).name() + ".log";
+    output.on_output = [this, region](std::string_view bytes) { region_output(region, bytes); };
+    RegionState& state = regions_[static_cast<std::size_t>(region)];
+    state.process = std::make_unique<ChildProcess>(
+        loop_,
+        std::vector<std::string>{options_.program, "--plan", options_.plan_path, "--region",
+                                 std::to_string(region), "--begin-ms", std::to_string(begin_ms_),
+                                 "--controller", options_.controller, "--directory",
+                                 options_.directory},
+        output, [this, region](int status, int signal) { region_ended(region, status, signal); });
+    report_.process_started(state.process->pid(), ProcessRole::Region, plan_.region(region).name());
+  }
+}
+
+void Run::region_output(int region, std::string_view bytes) {
+  RegionState& state = regions_[static_cast<std::size_t>(region)];
+  state.reader.feed(bytes);
+  while (const auto message = state.reader.next()) take(region, *message);
+}
+
+void Run::take(int region, const RegionMessage& message) {
+  RegionState& state = regions_[static_cast<std::size_t>(region)];
+  if (message.has_progress()) {
+    state.progress = message.progress();
+    report_.progress(region, message.progress());
+  }
+  if (message.has_controller_started())
+    report_.process_started(static_cast<int>(message.controller_started()), ProcessRole::Controller,
+                            plan_.region(region).name());
+  if (message.has_controller_ended())
+    report_.failed("a controller of " + plan_.region(region).name() + " ended by itself");
+  if (message.has_result()) {
+    state.done = true;
+    report_.result(message.result());
+  }
+  end_if_over();
+}
+
+void Run::region_ended(int region, int status, int signal) {
+  RegionState& state = regions_[static_cast<std::size_t>(region)];
+  state.ended = true;
+  if (status != 0 || signal != 0)
+    stop("the process of " + plan_.region(region).name() + " ended with status " +
+         std::to_string(status) + ", signal " + std::to_string(signal));
+  end_if_over();
+}
+
+void Run::end_if_over() {
+  bool all = true;
+  for (const RegionState& state : regions_) all = all && state.done && state.ended;
+  over_ = over_ || all;
+}
+
+void Run::watch() {
+  watch_timer_.set(kWatchMs);
+  report_.sample_processes();
+  if (report_.memory_mb() > memory_limit_mb())
+    return stop("the run used more than half of the machine's memory");
+  if (report_.processes() > kMostProcesses) return stop("the run had more than 300 processes");
+  const Time overdue = begin_ms_ + static_cast<Time>(plan_.seconds()) * 1000 + kOverdueMs;
+  if (EventLoop::now_ms() > overdue) return stop("a region didn't come to its end");
+  if (options_.progress) show_progress();
+}
+
+void Run::show_progress() const {
+  std::uint32_t workers = 0, tasks = 0, broken = 0;
+  std::uint64_t starts = 0;
+  for (const RegionState& state : regions_) {
+    workers += state.progress.workers();
+    tasks += state.progress.tasks_running();
+    starts += state.progress.starts();
+    broken += state.progress.rules_broken();
+  }
+  std::fprintf(
+      stderr,
+      "\r%4lld of %u s: %u workers, %u tasks running, %llu starts, %.0f MB, %u rules broken ",
+      static_cast<long long>((EventLoop::now_ms() - begin_ms_) / 1000), plan_.seconds(), workers,
+      tasks, static_cast<unsigned long long>(starts), report_.memory_mb(), broken);
+}
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/workload.cpp
@@ -0,0 +1,105 @@
+#include "scale/workload.hpp"
+
+#include <cmath>
+
+#include "scale/deployment.hpp"
+
+namespace sailreel::scale {
+namespace {
+
+/// Job ids are unique over all regions.
+constexpr std::uint64_t kIdsPerRegion = 10'000'000;
+constexpr std::uint32_t kImages = 8;
+constexpr double kImageGb = 2;
+/// An urgent job runs so long until its user cancels it.
+constexpr Time kUrgentRunMs = 8'000;
+/// Nothing is submitted in the last part of a run, so that what was can still be answered.
+constexpr double kQuietShare = 0.1;
+
+/// The part of all work that a region gets.
+double part_of(const Plan& plan, int region) {
+  const double even = static_cast<double>(plan.region(region).workers()) / total_workers(plan);
+  const double skew = plan.load().skew();
+  return even * (1 - skew) + (region == 0 ? skew : 0);
+}
+
+}  // namespace
+
+Workload::Workload(const Plan& plan, int region, sim::World& world, Time begin)
+    : plan_(plan),
+      first_id_((static_cast<std::uint64_t>(region) + 1) * kIdsPerRegion),
+      world_(world) {
+  const double part = part_of(plan, region);
+  const Time end = static_cast<Time>(plan.seconds() * 1000.0 * (1 - kQuietShare));
+  submit_services(static_cast<std::uint32_t>(std::lround(plan.load().service_tasks() * part)),
+                  begin);
+  submit_arrays(plan.load().array_tasks() * part, begin, end);
+  submit_urgent(plan.load().urgent_per_s() * part, begin + ms(plan.load().ramp_s()), end);
+}
+
+JobSpec Workload::next_job(JobKind kind, Priority priority, std::uint32_t tasks) {
+  JobSpec spec;
+  spec.id = "job-" + std::to_string(first_id_ + next_);
+  spec.job_class = kind == JobKind::Array       ? "array"
+                   : priority == Priority::High ? "urgent"
+                                                : "service";
+  spec.team = team_name(next_ % plan_.fleet().teams());
+  spec.kind = kind;
+  spec.priority = priority;
+  spec.tasks = tasks;
+  spec.need = {plan_.load().task_cpus(), plan_.load().task_gpus(), plan_.load().task_memory_gb()};
+  spec.image = "image-" + std::to_string(next_ % kImages);
+  spec.image_gb = kImageGb;
+  ++next_;
+  return spec;
+}
+
+void Workload::submit_services(std::uint32_t tasks, Time begin) {
+  const std::uint32_t size = plan_.load().tasks_per_service();
+  const std::uint32_t jobs = (tasks + size - 1) / size;
+  for (std::uint32_t n = 0; n < jobs; ++n) {
+    const JobSpec spec = next_job(JobKind::Service, Priority::Normal, size);
+    const Time when = begin + ms(plan_.load().ramp_s()) * n / std::max<std::uint32_t>(1, jobs);
+    world_.at(when, [this, spec] { world_.submit(spec); });
+  }
+}
+
+void Workload::submit_arrays(double tasks, Time begin, Time end) {
+  const std::uint32_t size = plan_.load().tasks_per_array();
+  if (tasks <= 0) return;
+  const double interval_ms = 1000 * plan_.load().array_task_s() * size / tasks;
+  const double ramp_ms = 1000 * plan_.load().ramp_s();
+  for (double when = static_cast<double>(begin) + ramp_ms / 2; when < static_cast<double>(end);
+       when += interval_ms) {
+    JobSpec spec = next_job(JobKind::Array, Priority::Low, size);
+    spec.estimate_s = plan_.load().array_task_s();
+    world_.at(static_cast<Time>(when), [this, spec] { world_.submit(spec); });
+  }
+}
+
+void Workload::submit_urgent(double per_s, Time begin, Time end) {
+  if (per_s <= 0) return;
+  for (double when = static_cast<double>(begin); when < static_cast<double>(end);
+       when += 1000 / per_s) {
+    const JobSpec spec = next_job(JobKind::Service, Priority::High, 1);
+    world_.at(static_cast<Time>(when), [this, spec] {
+      urgent_since_[spec.id] = world_.now();
+      world_.submit(spec, world_.now() + kUrgentRunMs);
+    });
+  }
+}
+
+void Workload::task_started(const TaskKey& key, Time now) {
+  const auto it = urgent_since_.find(key.job);
+  if (it == urgent_since_.end()) return;
+  urgent_waits_.push_back(static_cast<std::uint32_t>(now - it->second));
+  urgent_since_.erase(it);
+}
+
+std::uint32_t Workload::urgent_waiting(Time now, Time patience) const {
+  std::uint32_t waiting = 0;
+  for (const auto& [job, since] : urgent_since_) waiting += now - since > patience ? 1 : 0;
+  return waiting;
+}
+
+}  // namespace sailreel::scale
--- /dev/null
+++ b/tools/scale/workload.hpp
@@ -0,0 +1,41 @@
+// The work that the users of one region submit during a scale run.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "scale/plan.hpp"
+#include "sim/world.hpp"
+
+namespace sailreel::scale {
+
+class Workload {
+ public:
+  /// Plans all submissions from `begin` on into the region's day.
+  Workload(const Plan& plan, int region, sim::World& world, Time begin);
+
+  /// To be told of each task that begins to run.
+  void task_started(const TaskKey& key, Time now);
+
+  /// How long each urgent job waited for its start, in milliseconds.
+  [[nodiscard]] const std::vector<std::uint32_t>& urgent_waits() const { return urgent_waits_; }
+  /// Urgent jobs that had waited for longer than the planned time at the end, and not started.
+  [[nodiscard]] std::uint32_t urgent_waiting(Time now, Time patience) const;
+
+ private:
+  void submit_services(std::uint32_t tasks, Time begin);
+  void submit_arrays(double tasks, Time begin, Time end);
+  void submit_urgent(double per_s, Time begin, Time end);
+  [[nodiscard]] JobSpec next_job(JobKind kind, Priority priority, std::uint32_t tasks);
+
+  const Plan& plan_;
+  const std::uint64_t first_id_;
+  sim::World& world_;
+  std::uint32_t next_ = 0;
+  std::map<std::string, Time> urgent_since_;
+  std::vector<std::uint32_t> urgent_waits_;
+};
+
+}  // namespace sailreel::scale
