--- a/src/protocol/counterpart_codec.cpp
+++ b/src/protocol/counterpart_codec.cpp
@@ -4,54 +4,18 @@
 #include <charconv>
 
 #include "protocol/json.hpp"
+#include "protocol/json_object.hpp"
 
 namespace sailreel {
 namespace {
 
-/// A writer of one JSON object, with its members' names beside their values.
-class ObjectWriter {
- public:
-  explicit ObjectWriter(json::Writer& writer) : writer_(writer) { writer_.StartObject(); }
-  void end() { writer_.EndObject(); }
-  void text(const char* name, const std::string& value) {
-    writer_.Key(name);
-    json::put(writer_, value);
-  }
-  void number(const char* name, double value) {
-    writer_.Key(name);
-    writer_.Double(value);
-  }
-  void whole(const char* name, std::uint64_t value) {
-    writer_.Key(name);
-    writer_.Uint64(value);
-  }
-  void flag(const char* name, bool value) {
-    writer_.Key(name);
-    writer_.Bool(value);
-  }
-  void raw(const char* name, const std::string& value) {
-    writer_.Key(name);
-    writer_.RawValue(value.data(), value.size(), rapidjson::kObjectType);
-  }
-  template <typename Items, typename WriteItem>
-  void list(const char* name, const Items& items, WriteItem write_item) {
-    writer_.Key(name);
-    writer_.StartArray();
-    for (const auto& item : items) write_item(item);
-    writer_.EndArray();
-  }
-
- private:
-  json::Writer& writer_;
-};
-
 constexpr std::array<const char*, 5> kStateWords{"pulling", "running", "flushing", "ended",
                                                  "gathering"};
 constexpr std::array<const char*, 9> kCauseWords{
     "", "done", "stopped", "error", "no_room", "busy", "unknown", "mates_gone", "incomplete"};
 
 void write_task(json::Writer& writer, const ReportedTask& task) {
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text("hand", task_name(task.key));
   object.whole("launch", task.attempt);
   object.text("heading", kStateWords.at(static_cast<std::size_t>(task.state)));
@@ -161,7 +125,7 @@
 }
 
 void write_item(json::Writer& writer, const StateItem& item) {
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text("path", item.key);
   object.raw("data", item.value);
   object.whole("mark", item.version);
@@ -169,7 +133,7 @@
 }
 
 void write_change(json::Writer& writer, const StateItem& item) {
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text(item.deleted ? "drop" : "set", item.key);
   if (!item.deleted) object.raw("data", item.value);
   object.whole("mark", item.version);
@@ -184,7 +148,7 @@
     write_item(writer, reply.items.front());
     return json::text(buffer);
   }
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   if (call.kind == Kind::List) {
     object.list("pairs", reply.items, [&](const StateItem& item) { write_item(writer, item); });
     object.flag("has_next", reply.more);
@@ -225,7 +189,7 @@
 }
 
 void write_type(json::Writer& writer, const MachineType& type) {
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text("sku", type.name);
   object.number("cores", type.size.cpus);
   object.number("cards", type.size.gpus);
@@ -240,7 +204,7 @@
 }
 
 void write_machine(json::Writer& writer, const ListedMachine& machine) {
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text("id", machine.name);
   object.text("endpoint", machine.address);
   object.text("hull", machine.type);
@@ -256,7 +220,7 @@
 std::string encode_cloud_body(const CloudCall& call, const CloudReply& reply) {
   rapidjson::StringBuffer buffer;
   json::Writer writer(buffer);
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   switch (call.kind) {
     case CloudCall::Kind::Types:
       object.list("hulls", reply.types, [&](const MachineType& t) { write_type(writer, t); });
@@ -283,7 +247,7 @@
 std::string encode_report(const Report& report) {
   rapidjson::StringBuffer buffer;
   json::Writer writer(buffer);
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text("vessel", report.machine);
   object.text("endpoint", report.address);
   object.text("hull", report.type);
@@ -325,7 +289,7 @@
                                                                   "best_effort"};
   rapidjson::StringBuffer buffer;
   json::Writer writer(buffer);
-  ObjectWriter object(writer);
+  json::ObjectWriter object(writer);
   object.text("id", spec.id);
   object.text("berth", spec.job_class);
   object.text("crew", spec.team);
--- a/src/storage/share_records.cpp
+++ b/src/storage/share_records.cpp
@@ -1,8 +1,10 @@
 #include "storage/share_records.hpp"
 
+#include <array>
 #include <cctype>
 
 #include "protocol/json.hpp"
+#include "protocol/json_object.hpp"
 
 namespace sailreel {
 namespace {
@@ -24,12 +26,10 @@
   return out;
 }
 
-void put_amounts(json::Writer& writer, const char* name, const Amounts& amounts) {
-  writer.Key(name);
-  writer.StartArray();
-  writer.Int64(amounts.cpus);
-  writer.Int64(amounts.gpus);
-  writer.EndArray();
+void put_amounts(json::Writer& writer, json::ObjectWriter& object, const char* name,
+                 const Amounts& amounts) {
+  object.list(name, std::array{amounts.cpus, amounts.gpus},
+              [&](std::int64_t amount) { writer.Int64(amount); });
 }
 
 bool read_amounts(const json::Value& object, const char* name, Amounts& out) {
@@ -77,37 +77,29 @@
 std::string encode_share(const std::string& team, const ShareRecord& record) {
   rapidjson::StringBuffer buffer;
   json::Writer writer(buffer);
-  writer.StartObject();
-  writer.Key("team");
-  json::put(writer, team);
-  put_amounts(writer, "share", record.share);
-  put_amounts(writer, "limit", record.limit);
-  put_amounts(writer, "excess", record.excess);
-  writer.EndObject();
+  json::ObjectWriter object(writer);
+  object.text("team", team);
+  put_amounts(writer, object, "share", record.share);
+  put_amounts(writer, object, "limit", record.limit);
+  put_amounts(writer, object, "excess", record.excess);
+  object.end();
   return json::text(buffer);
 }
 
 std::string encode_transfers(const std::string& region, const TransferRecord& record) {
   rapidjson::StringBuffer buffer;
   json::Writer writer(buffer);
-  writer.StartObject();
-  writer.Key("region");
-  json::put(writer, region);
-  writer.Key("sent");
-  writer.Uint64(record.sent);
-  writer.Key("credited");
-  writer.Uint64(record.credited);
-  writer.Key("in_transit");
-  writer.StartArray();
-  for (const TeamAmounts& entry : record.in_transit) {
-    writer.StartObject();
-    writer.Key("team");
-    json::put(writer, entry.team);
-    put_amounts(writer, "amounts", entry.amounts);
-    writer.EndObject();
-  }
-  writer.EndArray();
-  writer.EndObject();
+  json::ObjectWriter object(writer);
+  object.text("region", region);
+  object.whole("sent", record.sent);
+  object.whole("credited", record.credited);
+  object.list("in_transit", record.in_transit, [&](const TeamAmounts& entry) {
+    json::ObjectWriter item(writer);
+    item.text("team", entry.team);
+    put_amounts(writer, item, "amounts", entry.amounts);
+    item.end();
+  });
+  object.end();
   return json::text(buffer);
 }
 
--- a/tools/scale/deployment.cpp
+++ b/tools/scale/deployment.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "protocol/json.hpp"
+#include "protocol/json_object.hpp"
 
 namespace sailreel::scale {
 namespace {
@@ -85,76 +86,56 @@
   return type;
 }
 
-/// Writes the members of a JSON object one by one.
-class Members {
- public:
-  explicit Members(json::Writer& writer) : writer_(writer) {}
-  void begin(const char* name) {
-    writer_.Key(name);
-    writer_.StartObject();
-  }
-  void end() { writer_.EndObject(); }
-  void begin_list(const char* name) {
-    writer_.Key(name);
-    writer_.StartArray();
-  }
-  void text(const char* name, const std::string& value) {
-    writer_.Key(name);
-    json::put(writer_, value);
-  }
-  void number(const char* name, double value) {
-    writer_.Key(name);
-    writer_.Double(value);
-  }
-  void whole(const char* name, std::uint64_t value) {
-    writer_.Key(name);
-    writer_.Uint64(value);
-  }
+void write_team(json::Writer& writer, const Team& team) {
+  json::ObjectWriter object(writer);
+  object.text("name", team.name);
+  object.number("cpus", team.cpus);
+  object.number("cpus_max", team.cpus_max);
+  object.number("gpus", team.gpus);
+  object.number("gpus_max", team.gpus_max);
+  object.end();
+}
 
- private:
-  json::Writer& writer_;
-};
+void write_sibling(json::Writer& writer, const Sibling& sibling) {
+  json::ObjectWriter object(writer);
+  object.text("label", sibling.name);
+  object.text("area", sibling.zone);
+  object.text("endpoint", sibling.address);
+  object.end();
+}
+
+void write_services(json::Writer& writer, const Settings& settings) {
+  json::ObjectWriter workers(writer, "workers");
+  workers.number("report_s", settings.workers.report_s);
+  workers.number("lease_s", settings.workers.lease_s);
+  workers.number("cancel_s", settings.workers.cancel_s);
+  workers.end();
+  json::ObjectWriter state(writer, "state");
+  state.number("rps", settings.store.rps);
+  state.number("write_rps", settings.store.write_rps);
+  state.number("value_kb", settings.store.value_kb);
+  state.whole("txn_ops", settings.store.txn_ops);
+  state.end();
+  json::ObjectWriter cloud(writer, "cloud");
+  cloud.number("rps", settings.market.rps);
+  cloud.number("list_lag_s", settings.market.list_lag_s);
+  cloud.end();
+  json::ObjectWriter resources(writer, "resources");
+  resources.number("cpu", settings.limits.cpu);
+  resources.number("memory_mb", settings.limits.memory_mb);
+  resources.whole("fd_limit", settings.limits.sockets);
+  resources.end();
+}
 
 void write_fleet(json::Writer& writer, const Settings& settings) {
-  Members members(writer);
-  members.begin("settings");
-  members.whole("initial_size", settings.siblings.size() + 1);
-  members.begin_list("zones");
-  for (const std::string& zone : settings.zones) json::put(writer, zone);
-  writer.EndArray();
-  members.begin_list("teams");
-  for (const Team& team : settings.teams) {
-    writer.StartObject();
-    members.text("name", team.name);
-    members.number("cpus", team.cpus);
-    members.number("cpus_max", team.cpus_max);
-    members.number("gpus", team.gpus);
-    members.number("gpus_max", team.gpus_max);
-    writer.EndObject();
-  }
-  writer.EndArray();
-  members.begin("workers");
-  members.number("report_s", settings.workers.report_s);
-  members.number("lease_s", settings.workers.lease_s);
-  members.number("cancel_s", settings.workers.cancel_s);
-  members.end();
-  members.begin("state");
-  members.number("rps", settings.store.rps);
-  members.number("write_rps", settings.store.write_rps);
-  members.number("value_kb", settings.store.value_kb);
-  members.whole("txn_ops", settings.store.txn_ops);
-  members.end();
-  members.begin("cloud");
-  members.number("rps", settings.market.rps);
-  members.number("list_lag_s", settings.market.list_lag_s);
-  members.end();
-  members.begin("resources");
-  members.number("cpu", settings.limits.cpu);
-  members.number("memory_mb", settings.limits.memory_mb);
-  members.whole("fd_limit", settings.limits.sockets);
-  members.end();
-  members.number("clock_error_ms", 5);
-  members.end();
+  constexpr double kClockErrorMs = 5;
+  json::ObjectWriter fleet(writer, "settings");
+  fleet.whole("initial_size", settings.siblings.size() + 1);
+  fleet.list("zones", settings.zones, [&](const std::string& zone) { json::put(writer, zone); });
+  fleet.list("teams", settings.teams, [&](const Team& team) { write_team(writer, team); });
+  write_services(writer, settings);
+  fleet.number("clock_error_ms", kClockErrorMs);
+  fleet.end();
 }
 
 }  // namespace
@@ -213,27 +194,19 @@
 std::string settings_file(const Settings& settings) {
   rapidjson::StringBuffer buffer;
   json::Writer writer(buffer);
-  Members members(writer);
-  writer.StartObject();
-  members.text("label", settings.name);
-  members.text("area", settings.zone);
-  members.text("listen", settings.listen);
-  members.text("peer_listen", settings.peer_listen);
-  members.begin_list("siblings");
-  for (const Sibling& sibling : settings.siblings) {
-    writer.StartObject();
-    members.text("label", sibling.name);
-    members.text("area", sibling.zone);
-    members.text("endpoint", sibling.address);
-    writer.EndObject();
-  }
-  writer.EndArray();
-  members.begin("external");
-  members.text("cloud", settings.cloud);
-  members.text("state", settings.state);
-  members.end();
+  json::ObjectWriter file(writer);
+  file.text("label", settings.name);
+  file.text("area", settings.zone);
+  file.text("listen", settings.listen);
+  file.text("peer_listen", settings.peer_listen);
+  file.list("siblings", settings.siblings,
+            [&](const Sibling& sibling) { write_sibling(writer, sibling); });
+  json::ObjectWriter external(writer, "external");
+  external.text("cloud", settings.cloud);
+  external.text("state", settings.state);
+  external.end();
   write_fleet(writer, settings);
-  writer.EndObject();
+  file.end();
   return json::text(buffer);
 }
 
