--- a/tools/scale/region_process.cpp
+++ b/tools/scale/region_process.cpp
@@ -256,8 +256,8 @@
 
 void RegionProcess::sample() {
   const Time now = elapsed();
-  next_sample_ = static_cast<std::uint64_t>(now / kSampleMs);
-  sample_timer_.set((static_cast<Time>(next_sample_) + 1) * kSampleMs - now);
+  const Time number = now / kSampleMs;
+  sample_timer_.set((number + 1) * kSampleMs - now);
   const auto workers = static_cast<std::uint32_t>(world_->machines_up().size());
   worker_seconds_ += workers * (static_cast<double>(kSampleMs) / 1000);
   RegionMessage message;
@@ -270,7 +270,7 @@
   for (const auto& [rule, cases] : checker.violations())
     broken += static_cast<std::uint32_t>(cases.size());
   progress.set_rules_broken(broken);
-  progress.set_sample(next_sample_);
+  progress.set_sample(static_cast<std::uint64_t>(number));
   for (std::uint32_t team = 0; team < plan_.fleet().teams(); ++team)
     progress.add_team_gpus(checker.used_by(team_name(team)).gpus);
   tell(message);
--- a/tools/scale/region_process.hpp
+++ b/tools/scale/region_process.hpp
@@ -78,7 +78,6 @@
   std::unique_ptr<Workload> workload_;
   Timer clock_timer_, sample_timer_, sweep_timer_;
   bool advancing_ = false;
-  std::uint64_t next_sample_ = 0;
   double worker_seconds_ = 0;
   std::uint64_t state_writes_ = 0;
   Time late_ms_max_ = 0;
--- a/tools/scale/report_builder.hpp
+++ b/tools/scale/report_builder.hpp
@@ -39,9 +39,7 @@
     ProcessRole role = ProcessRole::Main;
     std::string region;
     bool running = true;
-    double first_cpu_s = 0, cpu_s = 0, memory_peak_mb = 0;
-    /// Processor time at the last sample before this one.
-    bool seen = false;
+    double cpu_s = 0, memory_peak_mb = 0;
   };
   /// What the regions said of one moment.
   struct Moment {
