Placement: machines are ranked once a pass for each kind of jobs, not once a job

Change: a pass rates machines once for each kind of jobs (MachineRanking) and again only those that changed; victims are found the same way. Searches for moves look at holders of the image, and what was in vain once in a pass, or in a look at the fleet's size, isn't searched again. A job's end looks at the machines that had its tasks, a shard's write at its own machines. A machine to which replicas are on their way isn't emptied, also when only arrays run there.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <pcg_random.hpp>
 #include <set>
 #include <string>
@@ -16,6 +17,7 @@
 
 #include "coordination/actions.hpp"
 #include "coordination/gang.hpp"
+#include "coordination/machine_ranking.hpp"
 #include "coordination/rate_limiter.hpp"
 #include "coordination/siblings.hpp"
 #include "coordination/team_limits.hpp"
@@ -46,8 +48,9 @@
   [[nodiscard]] const Tables& tables() const { return tables_; }
   [[nodiscard]] const TeamLimits& limits() const { return limits_; }
   [[nodiscard]] bool rebuilding() const { return rebuilding_; }
-  /// How many jobs and machines the passes of placement have looked at. A measure of work that,
-  /// unlike time, is the same on every run.
+  /// How many jobs and machines were looked at, apart from the regular looks at the whole fleet (a
+  /// fixed number for each report's interval). A measure of work that, unlike time, is the same on
+  /// every run.
   [[nodiscard]] std::uint64_t examined() const { return examined_; }
 
  private:
@@ -138,11 +141,7 @@
   void add_features(TransactionBuilder& transaction);
   std::size_t add_rentals(Head& head);
   void add_machine_shards(TransactionBuilder& transaction);
-  /// Machines that the checkpoint lists or is to list, by shard.
-  using MachineShards = std::map<std::size_t, std::vector<const Machine*>>;
-  [[nodiscard]] MachineShards shards_to_write() const;
-  bool add_machine_shard(TransactionBuilder& transaction, std::size_t shard,
-                         const std::vector<const Machine*>& machines);
+  bool add_machine_shard(TransactionBuilder& transaction, std::size_t shard);
   std::map<std::string, Job*> add_bitmaps(TransactionBuilder& transaction,
                                           std::vector<Job*>& postponed);
   [[nodiscard]] bool small_pieces() const;
@@ -252,6 +251,12 @@
     Priority priority = Priority::Low;
     const TeamBook* team = nullptr;
     bool guaranteed = false;
+    std::string image;  // that the machine had to hold; empty: any machine
+  };
+  /// Work for which no replicas can be moved, or replicas that can't.
+  struct FailedMove {
+    Requirement want;
+    std::string image;
   };
   void place_all();
   bool place_job(Job& job);
@@ -265,32 +270,38 @@
   [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m, const char* aim) const;
   std::uint64_t attempt_number();
   static constexpr unsigned kAttemptBits = 28;
+  /// How good a choice a machine is, less being better; by importance of what it compares.
   using Fit = std::array<double, 6>;
-  [[nodiscard]] std::optional<Fit> fit(const Job& job, const Machine& m, bool may_queue_fetch,
-                                       bool& has_room) const;
-  /// The machines that one job's tasks may go to within a pass, best first.
-  class MachineRanking {
-   public:
-    MachineRanking(Core& core, const Job& job, bool may_queue_fetch)
-        : core_(core), job_(job), may_queue_fetch_(may_queue_fetch) {}
-    /// The best for one more task, as things stand; null if there is none.
-    Machine* best();
-
-   private:
-    struct Entry {
-      Fit fit;
-      std::size_t index = 0;  // among the roomy; the first of equals is taken
-      // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 mistakes the generated comparison
-      auto operator<=>(const Entry&) const = default;
-    };
-    void begin();
-    Core& core_;
-    const Job& job_;
-    const bool may_queue_fetch_;
-    bool begun_ = false;
-    std::size_t shut_ = 0;  // have room, and are no choice all the same
-    std::vector<Entry> heap_;
+  static constexpr std::size_t kFitFailed = 0, kFitTogether = 4;
+  [[nodiscard]] MachineRating<Fit> fit(const JobSpec& spec, const Machine& m,
+                                       bool may_queue_fetch) const;
+  [[nodiscard]] static Fit own_fit(const Job& job, const Machine& m, Fit of_kind);
+  /// Jobs for which the machines of a pass rank alike, as far as the jobs' own tasks have no say.
+  struct PlacementKind {
+    std::string image;
+    Priority priority = Priority::Low;
+    bool may_queue_fetch = false;
+    Requirement want;
+    bool operator==(const PlacementKind&) const = default;
+  };
+  struct EvictionKind {
+    std::string image;
+    Priority priority = Priority::Low;
+    const TeamBook* team = nullptr;
+    bool guaranteed = false, warm_only = false;
+    std::string zone;
+    Requirement want;
+    bool operator==(const EvictionKind&) const = default;
   };
+  [[nodiscard]] std::size_t most_rankings() const;
+  void begin_rankings(const std::optional<Resources>& least_need);
+  void end_rankings();
+  /// Within a pass: the machine's room, or what runs there, has changed.
+  void machine_changed(Machine& m) { machines_changed_.push_back(&m); }
+  void reserve(Machine& m, const Resources& room);
+  void unreserve(Machine& m, const Resources& room);
+  /// The best machine for one more task of the job, as things stand; null if there is none.
+  Machine* best_machine(const Job& job, bool may_queue_fetch);
   Machine* moved_to(const Job& job, std::uint32_t index);
   [[nodiscard]] bool usable(const Machine& m) const;
   /// Usable, and not being emptied.
@@ -344,15 +355,17 @@
     double cost = 0;
   };
   std::optional<Eviction> eviction_on(Machine& m, const Job& job) const;
+  MachineRanking<double>& eviction_ranking(const Job& job, bool warm_only, const std::string& zone);
   static bool stopped_before(const Placement* a, const Placement* b);
   [[nodiscard]] double stop_cost(const Placement& p) const;
   bool move_for(const Job& job);
   [[nodiscard]] bool movable(const Placement& p) const;
   struct PlannedMove {
     Placement* placement = nullptr;
-    const Machine* to = nullptr;
+    Machine* to = nullptr;
   };
-  void move(Placement& p, const Machine& from, const Machine& to);
+  std::optional<std::vector<PlannedMove>> moves_to_make_room(Machine& m, const Job& job);
+  void move(Placement& p, Machine& from, const Machine& to);
   void move_tick();
   void stop_tick();
   [[nodiscard]] bool may_stop(const Job& job, const Placement& p) const;
@@ -414,10 +427,14 @@
   [[nodiscard]] OrdinaryRoom ordinary_room() const;
   void retire(OrdinaryRoom ordinary);
   [[nodiscard]] std::vector<Machine*> machines_to_retire() const;
-  bool empty_machine(Machine& m, Reservations& under_way);
+  bool empty_machine(Machine& m, Reservations& under_way, std::vector<FailedMove>& in_vain);
   [[nodiscard]] bool spare(const OrdinaryRoom& ordinary, const Machine& m) const;
-  [[nodiscard]] const Machine* warm_room(const Placement& p, const Machine& from,
-                                         const Reservations& promised) const;
+  /// Machines by an image that they hold, in the order of their names.
+  using ImageHolders = std::unordered_map<std::string, std::vector<Machine*>>;
+  const ImageHolders& image_holders();
+  [[nodiscard]] Machine* warm_room(const Placement& p, const Machine& from,
+                                   const Reservations& promised,
+                                   const std::vector<PlannedMove>& plan);
   void send_releases();
   void release(Machine& m, const char* why);
   void drain(Machine& m, const char* why);
@@ -597,9 +614,15 @@
   /// What the present pass has found no room for, and nothing to stop for. Room only shrinks within
   /// a pass; where it grows, these are forgotten.
   std::vector<Requirement> no_room_for_;
-  /// Machines with room for the least that waits, when the pass began.
-  std::vector<Machine*> machines_with_room_;
-  std::uint64_t examined_ = 0;
+  std::vector<FailedMove> no_move_for_;
+  /// Of the machines with room for the least that waits, and of all that take work, when the pass
+  /// began.
+  RankingsByKind<PlacementKind, Fit> placement_rankings_{&Machine::room_index};
+  RankingsByKind<EvictionKind, double> eviction_rankings_{&Machine::open_index};
+  std::vector<Machine*> machines_changed_;
+  /// Empty if it has to be made anew.
+  ImageHolders image_holders_;
+  mutable std::uint64_t examined_ = 0;
   std::vector<FailedEviction> no_eviction_for_;
 };
 
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -257,7 +257,7 @@
   no_capacity_until_.clear();
   unmet_.clear();
   reservations_.clear();
-  machines_with_room_.clear();
+  end_rankings();
   moves_.clear();
   gangs_.clear();
   gangs_to_review_.clear();
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -511,14 +511,17 @@
   Reservations under_way;
   for (const auto& [task, move] : moves_)
     if (const Machine* to = tables_.machine(move.to)) under_way[to] += move.need;
+  std::vector<FailedMove> in_vain;
+  image_holders_.clear();
   // As many at a time as the fleet's size allows: one for each look at the fleet was too slow for
   // hundreds, when demand fell.
   for (Machine* m : machines_to_retire()) {
-    if (retiring > up / kRetiringShare) return;
-    if (!spare(ordinary, *m) || !empty_machine(*m, under_way)) continue;
+    if (retiring > up / kRetiringShare) break;
+    if (!spare(ordinary, *m) || !empty_machine(*m, under_way, in_vain)) continue;
     ordinary.size -= m->size;
     ++retiring;
   }
+  image_holders_.clear();
 }
 
 // The machines that might be emptied, those first on which the fewest tasks have to end or go.
@@ -553,22 +556,36 @@
 }
 
 // Marks a machine to be emptied if each of its replicas can move to where its image lies. What is
-// promised there meanwhile is added to `under_way`.
-bool Core::empty_machine(Machine& m, Reservations& under_way) {
-  auto promised = under_way;
+// promised there meanwhile is added to `under_way`, and what finds no place is noted `in_vain`: a
+// look at all machines for each replica of each machine grew with the square of the fleet.
+bool Core::empty_machine(Machine& m, Reservations& under_way, std::vector<FailedMove>& in_vain) {
+  // What another machine's emptying has sent here stays.
+  if (under_way.contains(&m)) return false;
   std::vector<PlannedMove> plan;
   for (Placement& p : m.placements) {
     if (!p.held || p.job->spec().kind != JobKind::Service) continue;
-    // What another machine's emptying has sent here stays.
-    const Machine* to = under_way.contains(&m) ? nullptr : warm_room(p, m, promised);
-    if (to == nullptr) return false;
-    promised[to] += p.need;
+    const JobSpec& spec = p.job->spec();
+    const Requirement want = requirement_of(spec);
+    if (std::any_of(in_vain.begin(), in_vain.end(), [&](const FailedMove& failed) {
+          return failed.image == spec.image && want.as_much_as(failed.want);
+        }))
+      return false;
+    Machine* to = warm_room(p, m, under_way, plan);
+    if (to == nullptr) {
+      // So it is for its like elsewhere, unless that could come here, or the plan is in its way.
+      const bool room_here = spec.need.fits_in(room_beside(under_way, m));
+      if (plan.empty() && !room_here && !spec.spread && !spec.one_zone)
+        in_vain.push_back({want, spec.image});
+      return false;
+    }
     plan.push_back({&p, to});
   }
-  under_way = std::move(promised);
   m.retiring = true;
   log(Log::Level::Info, "event=retire machine=", m.name, " moves=", plan.size());
-  for (const PlannedMove& step : plan) move(*step.placement, m, *step.to);
+  for (const PlannedMove& step : plan) {
+    under_way[step.to] += step.placement->need;
+    move(*step.placement, m, *step.to);
+  }
   return true;
 }
 
--- a/src/coordination/gang_scheduling.cpp
+++ b/src/coordination/gang_scheduling.cpp
@@ -145,7 +145,7 @@
 
 std::vector<Machine*> Core::gang_machines(const Job& job) const {
   std::vector<Machine*> machines;
-  for (Machine* m : machines_with_room_)
+  for (Machine* m : placement_rankings_.machines())
     if (open(*m) && tables_.allowed(job, *m) &&
         job.spec().need.fits_in(room_beside(reservations_, *m)))
       machines.push_back(m);
@@ -215,12 +215,12 @@
   for (std::size_t i = 0; i < machines.size(); ++i)
     if (plan.tasks[i] > 0) {
       kept.emplace_back(machines[i], job.spec().need.times(plan.tasks[i]));
-      reservations_[machines[i]] += kept.back().second;
+      reserve(*machines[i], kept.back().second);
     }
   while (made < plan.missing && make_room(job, false, zone)) ++made;
   const bool starved = clock_.now - job.accepted > starved_after();
   if (made > 0 || (starved && hold_machines(job, plan.missing, zone))) return;
-  for (const auto& [m, room] : kept) reservations_[m] -= room;
+  for (const auto& [m, room] : kept) unreserve(*m, room);
 }
 
 // By then what was rented for a job is up, or there was nothing to rent.
@@ -259,7 +259,7 @@
   if (slots < missing) return false;
   for (const Candidate& candidate : candidates) {
     if (missing == 0) break;
-    reservations_[candidate.machine] += candidate.room;
+    reserve(*candidate.machine, candidate.room);
     missing -= std::min(missing, candidate.slots);
   }
   return true;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -8,6 +8,11 @@
 /// And passes are so far apart that, for each report, no more jobs and machines than this are
 /// looked at: what a report costs doesn't grow with the jobs that wait.
 constexpr Time kLooksPerReport = 150;
+/// The rankings of a pass take at most this share of a controller's memory, at so many bytes for
+/// each machine in one; a few are kept in any case.
+constexpr double kRankingMemoryShare = 0.1;
+constexpr double kRankingBytes = 128;
+constexpr double kLeastRankings = 4;
 }  // namespace
 
 bool Core::usable(const Machine& m) const {
@@ -33,6 +38,18 @@
 void Core::forget_failures() {
   no_room_for_.clear();
   no_eviction_for_.clear();
+  no_move_for_.clear();
+}
+
+// Promises room on a machine for the rest of the pass.
+void Core::reserve(Machine& m, const Resources& room) {
+  reservations_[&m] += room;
+  machine_changed(m);
+}
+
+void Core::unreserve(Machine& m, const Resources& room) {
+  reservations_[&m] -= room;
+  machine_changed(m);
 }
 
 // A gang of which no zone may hold more than half needs two zones.
@@ -134,18 +151,7 @@
       least_need = Resources{std::min(least_need->cpus, n.cpus), std::min(least_need->gpus, n.gpus),
                              std::min(least_need->memory_gb, n.memory_gb)};
     }
-  machines_with_room_.clear();
-  if (least_need)
-    for (auto& [name, m] : tables_.machines) {
-      ++examined_;
-      if (!open(*m) || !least_need->fits_in(room_beside(reservations_, *m))) continue;
-      machines_with_room_.push_back(m.get());
-      m->reserved.fill(0);
-      for (const CachedImage& c : m->images)
-        if (const auto i = tables_.image_priority.find(c.name); i != tables_.image_priority.end())
-          for (auto p = static_cast<std::size_t>(i->second) + 1; p < kPriorities; ++p)
-            ++m->reserved[p];
-    }
+  begin_rankings(least_need);
   for (std::vector<Job*>& waiting : all) {
     queue_order(waiting);
     // A queue for each team.
@@ -163,6 +169,7 @@
       place_job(*job);
     }
   }
+  end_rankings();
   const Time looks = static_cast<Time>(examined_ - examined);
   const Time reports = std::max<Time>(1, static_cast<Time>(tables_.machines.size()));
   const Time least = std::max<Time>(10, report_interval() / kPassesPerReport);
@@ -170,6 +177,39 @@
   next_placement_ = now + std::max(least, std::min(by_looks, report_interval()));
 }
 
+// Looks at all machines once: which of them take work, and which have room for the least that
+// waits.
+void Core::begin_rankings(const std::optional<Resources>& least_need) {
+  end_rankings();
+  if (!least_need) return;
+  for (auto& [name, m] : tables_.machines) {
+    ++examined_;
+    m->open_index = m->room_index = {};
+    if (!open(*m)) continue;
+    eviction_rankings_.add(*m);
+    if (!least_need->fits_in(room_beside(reservations_, *m))) continue;
+    placement_rankings_.add(*m);
+    m->reserved.fill(0);
+    for (const CachedImage& c : m->images)
+      if (const auto i = tables_.image_priority.find(c.name); i != tables_.image_priority.end())
+        for (auto p = static_cast<std::size_t>(i->second) + 1; p < kPriorities; ++p)
+          ++m->reserved[p];
+  }
+}
+
+void Core::end_rankings() {
+  placement_rankings_.clear();
+  eviction_rankings_.clear();
+  machines_changed_.clear();
+  image_holders_.clear();
+}
+
+std::size_t Core::most_rankings() const {
+  const double bytes = settings_.limits.memory_mb * 1024 * 1024 * kRankingMemoryShare;
+  const auto machines = static_cast<double>(tables_.machines.size() + 1);
+  return static_cast<std::size_t>(std::max(kLeastRankings, bytes / (kRankingBytes * machines)));
+}
+
 bool Core::place_job(Job& job) {
   if (is_gang(job)) return place_gang(job);
   // Of a job that is likely to be a mistake, one task at a time shows whether it still fails.
@@ -199,22 +239,21 @@
 // Places what it can of the job's tasks. Returns how many found no room; empty if the team is at
 // its limit.
 std::optional<std::uint32_t> Core::place_tasks(Job& job, bool one_by_one) {
-  MachineRanking at_once(*this, job, false), queued(*this, job, true);
   std::uint32_t waiting = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
     if (!due(job, i)) continue;
     if (job.team == nullptr || !job.team->allows(job.spec().need)) return {};
     Machine* m = moved_to(job, i);
-    if (m == nullptr) m = at_once.best();
+    if (m == nullptr) m = best_machine(job, false);
     if (m != nullptr && warm_room_made(job, *m)) {
       ++waiting;
       continue;
     }
     if (m == nullptr) {
       // Room there may be, but its machine is busy fetching: that room is kept, and none rented.
-      Machine* later = queued.best();
+      Machine* later = best_machine(job, true);
       if (later == nullptr) return job.queued - waiting;
-      reservations_[later] += job.spec().need;
+      reserve(*later, job.spec().need);
       ++waiting;
       continue;
     }
@@ -234,6 +273,7 @@
 
 void Core::bind(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt) {
   tables_.place(job, index, m, attempt, clock_.now);
+  machine_changed(m);
   m.idle_since = 0;
   if (job.record.started > index) return;
   job.record.started = index + 1;
@@ -280,11 +320,16 @@
 
 // Takes back what was placed of a job and not sent yet.
 void Core::unplace(Job& job) {
-  for (auto& [name, m] : tables_.machines)
-    for (std::size_t i = m->placements.size(); i-- > 0;) {
-      const Placement& p = m->placements[i];
-      if (p.job == &job && p.state == PlaceState::Reserved) tables_.erase(*m, i);
+  for (const Task& task : job.tasks) {
+    if (task.machine == nullptr) continue;
+    ++examined_;
+    Machine& m = *task.machine;
+    for (std::size_t i = m.placements.size(); i-- > 0;) {
+      const Placement& p = m.placements[i];
+      if (p.job == &job && p.state == PlaceState::Reserved) tables_.erase(m, i);
     }
+    machine_changed(m);
+  }
   forget_failures();
 }
 
@@ -298,85 +343,66 @@
   if (!node) return nullptr;
   Machine* m = tables_.machine(node.mapped().to);
   if (m == nullptr) return nullptr;
-  reservations_[m] -= node.mapped().need;
+  unreserve(*m, node.mapped().need);
   forget_failures();
   const bool possible = open(*m) && m->has_image(job.spec().image) &&
                         job.spec().need.fits_in(m->room()) && tables_.allowed(job, *m);
   return possible ? m : nullptr;
 }
 
-// How good a machine is for one more task of the job, less being better; empty: not at all.
-std::optional<Core::Fit> Core::fit(const Job& job, const Machine& m, bool may_queue_fetch,
-                                   bool& has_room) const {
-  const JobSpec& s = job.spec();
-  has_room = false;
+// How good a machine is for one more task of such a job; what the job's own tasks and failures say
+// of it is left out.
+MachineRating<Core::Fit> Core::fit(const JobSpec& s, const Machine& m, bool may_queue_fetch) const {
   if (!open(m)) return {};
   const Resources room = room_beside(reservations_, m);
   if (!s.need.fits_in(room) || !tables_.suits(s, m)) return {};
-  has_room = true;
-  if (!tables_.zone_open(job, m)) return {};
   const double image = m.has_image(s.image) ? 0 : m.fetching(s.image) ? 1 : 2;
   const std::size_t fetches = image == 2 ? m.fetches() : 0;
-  if (image == 2 && !may_queue_fetch && fetches >= fetch_limit()) return {};
-  const double failed = job.error_machines.contains(m.name) ? 1 : 0;
+  if (image == 2 && !may_queue_fetch && fetches >= fetch_limit()) return {{}, true};
   // Work that may use cheap machines leaves the ordinary ones to work that may not.
   const double dear = s.spot && !m.spot ? 1 : 0;
-  // Replicas of a service keep apart, so that a machine's end takes few of them.
-  double together = 0;
-  if (s.kind == JobKind::Service)
-    together = static_cast<double>(
-        std::count_if(m.placements.begin(), m.placements.end(),
-                      [&](const Placement& p) { return p.job == &job && p.held; }));
   // Room beside images of more important work is left to that, as long as there is other room.
   const double reserved = m.reserved[static_cast<std::size_t>(s.priority)];
   // Among holders the fullest, so that machines empty out; otherwise the roomiest, and of these
   // the one that is busy with the fewest fetches, as they share its rate.
   const double fill =
       image < 2 ? room.gpus + room.cpus / 1000 : static_cast<double>(fetches) * 100 - room.gpus;
-  return Fit{failed, dear, image, reserved, together, fill};
+  return {Fit{0, dear, image, reserved, 0, fill}, true};
 }
 
-// Looks at every machine with room for the job once; after that, only at the best ones again, as
-// each of its tasks changes one machine. A look at all for each task grew with the fleet times the
-// waiting tasks: with 550 machines, passes came as far apart as they may, 3 s.
-void Core::MachineRanking::begin() {
-  begun_ = true;
-  const Requirement want = requirement_of(job_.spec());
-  for (const Requirement& f : core_.no_room_for_)
-    if (want.as_much_as(f)) return;
-  for (std::size_t i = 0; i < core_.machines_with_room_.size(); ++i) {
-    ++core_.examined_;
-    bool has_room = false;
-    const auto fit = core_.fit(job_, *core_.machines_with_room_[i], may_queue_fetch_, has_room);
-    if (fit) heap_.push_back({*fit, i});
-    shut_ += has_room && !fit ? 1 : 0;
-  }
-  std::make_heap(heap_.begin(), heap_.end(), std::greater<>());
-  if (heap_.empty() && shut_ == 0) core_.no_room_for_.push_back(want);
+// The same for a certain job.
+Core::Fit Core::own_fit(const Job& job, const Machine& m, Fit of_kind) {
+  if (job.error_machines.contains(m.name)) of_kind[kFitFailed] = 1;
+  // Replicas of a service keep apart, so that a machine's end takes few of them.
+  if (job.spec().kind == JobKind::Service && job.placed > 0)
+    of_kind[kFitTogether] = static_cast<double>(
+        std::count_if(m.placements.begin(), m.placements.end(),
+                      [&](const Placement& p) { return p.job == &job && p.held; }));
+  return of_kind;
 }
 
-Machine* Core::MachineRanking::best() {
-  if (!begun_) begin();
-  while (!heap_.empty()) {
-    ++core_.examined_;
-    Machine* m = core_.machines_with_room_[heap_.front().index];
-    bool has_room = false;
-    const auto fit = core_.fit(job_, *m, may_queue_fetch_, has_room);
-    if (fit && *fit <= heap_.front().fit) {
-      heap_.front().fit = *fit;
-      return m;
-    }
-    std::pop_heap(heap_.begin(), heap_.end(), std::greater<>());
-    if (fit) {
-      heap_.back().fit = *fit;
-      std::push_heap(heap_.begin(), heap_.end(), std::greater<>());
-      continue;
-    }
-    shut_ += has_room ? 1 : 0;
-    heap_.pop_back();
-    if (heap_.empty() && shut_ == 0) core_.no_room_for_.push_back(requirement_of(job_.spec()));
+Machine* Core::best_machine(const Job& job, bool may_queue_fetch) {
+  const JobSpec& s = job.spec();
+  const Requirement want = requirement_of(s);
+  for (const Requirement& failed : no_room_for_)
+    if (want.as_much_as(failed)) return nullptr;
+  const auto rate = [this, s, may_queue_fetch](const Machine& m) {
+    ++examined_;
+    return fit(s, m, may_queue_fetch);
+  };
+  MachineRanking<Fit>& ranking = placement_rankings_.get(
+      {s.image, s.priority, may_queue_fetch, want}, most_rankings(), machines_changed_, rate);
+  if (!ranking.any_room()) {
+    no_room_for_.push_back(want);
+    return nullptr;
   }
-  return nullptr;
+  const auto zone_open = [&](const std::string& zone) { return tables_.zone_open(job, zone); };
+  const auto own = [&](std::size_t index, const Fit& of_kind) {
+    ++examined_;
+    return own_fit(job, *placement_rankings_.machines()[index], of_kind);
+  };
+  const std::optional<std::size_t> best = ranking.best(zone_open, own);
+  return best ? placement_rankings_.machines()[*best] : nullptr;
 }
 
 }  // namespace sailreel
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -21,8 +21,11 @@
   // A second stop may only shorten: that ends a task that is saving.
   p.grace_s = p.stop ? std::min(p.grace_s, grace_s) : grace_s;
   p.stop = true;
-  if (p.held && p.job != nullptr)
-    if (const Machine* m = p.job->tasks[p.key.index].machine) stops_due_.insert(m->name);
+  if (!p.held || p.job == nullptr) return;
+  if (Machine* m = p.job->tasks[p.key.index].machine) {
+    stops_due_.insert(m->name);
+    machine_changed(*m);
+  }
 }
 
 // Stops also go straight to the machine: until its next report, which may be more than a report's
@@ -84,31 +87,51 @@
   // What was in vain for work of the same team and priority, which needs no more, is so again.
   for (const FailedEviction& i : no_eviction_for_)
     if (i.priority == s.priority && i.team == job.team && i.guaranteed == job.guaranteed &&
-        want.as_much_as(i.want))
+        (i.image.empty() || (warm_only && i.image == s.image)) && want.as_much_as(i.want))
       return false;
   if (stop_for(job, warm_only, zone)) return true;
   // A job that minds the zones of its own tasks says nothing of others.
-  if (!warm_only && !s.spread && !s.one_zone)
-    no_eviction_for_.push_back({want, s.priority, job.team, job.guaranteed});
+  if (!s.spread && !s.one_zone)
+    no_eviction_for_.push_back(
+        {want, s.priority, job.team, job.guaranteed, warm_only ? s.image : std::string()});
   return false;
 }
 
+MachineRanking<double>& Core::eviction_ranking(const Job& job, bool warm_only,
+                                               const std::string& zone) {
+  const auto rate = [this, &job, warm_only](const Machine& m) -> MachineRating<double> {
+    ++examined_;
+    if (!open(m) || !tables_.suits(job.spec(), m)) return {};
+    if (warm_only && !m.has_image(job.spec().image)) return {};
+    const std::optional<Eviction> eviction =
+        eviction_on(*eviction_rankings_.machines()[*m.open_index], job);
+    if (!eviction) return {};
+    return {eviction->cost, true};
+  };
+  const JobSpec& s = job.spec();
+  return eviction_rankings_.get(
+      {s.image, s.priority, job.team, job.guaranteed, warm_only, zone, requirement_of(s)},
+      most_rankings(), machines_changed_, rate);
+}
+
 bool Core::stop_for(const Job& job, bool warm_only, const std::string& zone) {
+  MachineRanking<double>& ranking = eviction_ranking(job, warm_only, zone);
+  const auto zone_open = [&](const std::string& other) {
+    return (zone.empty() || other == zone) && tables_.zone_open(job, other);
+  };
+  const auto same = [](std::size_t, double of_kind) { return of_kind; };
   Machine* best = nullptr;
-  Eviction best_eviction;
-  for (auto& [name, m] : tables_.machines) {
-    ++examined_;
-    if (!open(*m) || !tables_.allowed(job, *m)) continue;
-    if (!zone.empty() && m->zone != zone) continue;
-    if (warm_only && !m->has_image(job.spec().image)) continue;
-    std::optional<Eviction> eviction = eviction_on(*m, job);
-    if (!eviction || (best != nullptr && eviction->cost >= best_eviction.cost)) continue;
-    best = m.get();
-    best_eviction = std::move(*eviction);
+  std::optional<Eviction> eviction;
+  while (!eviction) {
+    const std::optional<std::size_t> index = ranking.best(zone_open, same);
+    if (!index) return false;
+    best = eviction_rankings_.machines()[*index];
+    eviction = eviction_on(*best, job);
+    // What may be stopped depends on what teams use, too.
+    if (!eviction) ranking.update(*index);
   }
-  if (best == nullptr) return false;
-  reservations_[best] += job.spec().need;
-  for (Placement* p : best_eviction.victims) {
+  reserve(*best, job.spec().need);
+  for (Placement* p : eviction->victims) {
     log(Log::Level::Info, "event=preempt machine=", best->name, " task=", p->key.job, "/",
         p->key.index, " for=", job.spec().id);
     stop_with_gang(*p, grace_for(*p->job));
@@ -177,8 +200,9 @@
          clock_.now - p.running_since > kCountedStart;
 }
 
-void Core::move(Placement& p, const Machine& from, const Machine& to) {
+void Core::move(Placement& p, Machine& from, const Machine& to) {
   p.moving = true;
+  machine_changed(from);
   // Its room is kept: a replica that lost it to another once fetched its image for half a minute.
   moves_[task_name(p.key)] = {from.name, to.name,  p.need, clock_.now + worker_lease(),
                               p.key,     p.attempt};
@@ -214,51 +238,80 @@
 // minute.
 bool Core::move_for(const Job& job) {
   const JobSpec& s = job.spec();
+  const Requirement want = requirement_of(s);
+  for (const FailedMove& failed : no_move_for_)
+    if (failed.image == s.image && want.as_much_as(failed.want)) return false;
   Machine* best = nullptr;
   std::vector<PlannedMove> best_plan;
-  for (auto& [name, ptr] : tables_.machines) {
-    Machine& m = *ptr;
+  const auto holders = image_holders().find(s.image);
+  if (holders == image_holders().end()) return false;
+  for (Machine* m : holders->second) {
     ++examined_;
-    if (!open(m) || !m.has_image(s.image) || !tables_.allowed(job, m)) continue;
-    Resources room = room_to_come(m);
-    auto promised = reservations_;
-    std::vector<PlannedMove> plan;
-    for (Placement& p : m.placements) {
-      if (s.need.fits_in(room) || plan.size() >= kMovesForAStart) break;
-      if (!movable(p) || p.job == &job) continue;
-      const Machine* to = warm_room(p, m, promised);
-      if (to == nullptr) continue;
-      promised[to] += p.need;
-      room += p.need;
-      plan.push_back({&p, to});
-    }
-    if (!s.need.fits_in(room)) continue;
-    if (best != nullptr && plan.size() >= best_plan.size()) continue;
-    best = &m;
-    best_plan = std::move(plan);
+    if (!open(*m) || !tables_.allowed(job, *m)) continue;
+    std::optional<std::vector<PlannedMove>> plan = moves_to_make_room(*m, job);
+    if (!plan || (best != nullptr && plan->size() >= best_plan.size())) continue;
+    best = m;
+    best_plan = std::move(*plan);
   }
-  if (best == nullptr) return false;
-  reservations_[best] += s.need;
+  if (best == nullptr) {
+    if (!s.spread && !s.one_zone) no_move_for_.push_back({want, s.image});
+    return false;
+  }
+  reserve(*best, s.need);
   for (const auto& [p, to] : best_plan) {
     log(Log::Level::Info, "event=move machine=", best->name, " task=", p->key.job, "/",
         p->key.index, " to=", to->name, " for=", s.id);
-    reservations_[to] += p->need;
+    reserve(*to, p->need);
     move(*p, *best, *to);
   }
   return true;
 }
 
-// A machine that holds the image of a running replica and has room for it, beside what is promised.
-const Machine* Core::warm_room(const Placement& p, const Machine& from,
-                               const Reservations& promised) const {
+// The replicas that would have to go elsewhere for one more task of the job to fit on a machine;
+// empty if that can't be done with few.
+std::optional<std::vector<Core::PlannedMove>> Core::moves_to_make_room(Machine& m, const Job& job) {
+  const Resources& need = job.spec().need;
+  Resources room = room_to_come(m);
+  std::vector<PlannedMove> plan;
+  for (Placement& p : m.placements) {
+    if (need.fits_in(room) || plan.size() >= kMovesForAStart) break;
+    if (!movable(p) || p.job == &job) continue;
+    Machine* to = warm_room(p, m, reservations_, plan);
+    if (to == nullptr) continue;
+    room += p.need;
+    plan.push_back({&p, to});
+  }
+  if (!need.fits_in(room)) return {};
+  return plan;
+}
+
+// Images don't change within a pass of placement, nor within a look at the fleet's size.
+const Core::ImageHolders& Core::image_holders() {
+  if (!image_holders_.empty()) return image_holders_;
+  for (auto& [name, m] : tables_.machines) {
+    ++examined_;
+    for (const CachedImage& image : m->images) image_holders_[image.name].push_back(m.get());
+  }
+  return image_holders_;
+}
+
+// A machine that holds the image of a running replica and has room for it, beside what is promised
+// and what the plan so far sends there.
+Machine* Core::warm_room(const Placement& p, const Machine& from, const Reservations& promised,
+                         const std::vector<PlannedMove>& plan) {
   const JobSpec& s = p.job->spec();
-  for (const auto& [name, m] : tables_.machines) {
-    if (m.get() == &from || m->spot != from.spot || !open(*m)) continue;
-    if (!m->has_image(s.image)) continue;
+  const auto holders = image_holders().find(s.image);
+  if (holders == image_holders().end()) return nullptr;
+  for (Machine* m : holders->second) {
+    ++examined_;
+    if (m == &from || m->spot != from.spot || !open(*m)) continue;
     // In its own zone, what the job asks of its tasks' zones stays as it is.
     if (m->zone == from.zone ? !tables_.type_allowed(s, m->type) : !tables_.allowed(*p.job, *m))
       continue;
-    if (s.need.fits_in(room_beside(promised, *m))) return m.get();
+    Resources room = room_beside(promised, *m);
+    for (const PlannedMove& step : plan)
+      if (step.to == m) room -= step.placement->need;
+    if (s.need.fits_in(room)) return m;
   }
   return nullptr;
 }
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -268,6 +268,7 @@
         t.key.index, " attempt=", t.attempt);
   } else {
     stray.job = job;
+    if (job != nullptr) job->machines_used.insert(m.name);
   }
   stray.stop = on_machine;
   m.placements.push_back(std::move(stray));
@@ -601,7 +602,7 @@
   if (m.recorded || m.record_dirty) dirty_machine_shards_.insert(machine_shard(m.name));
   reservations_.erase(&m);
   placement_dirty_ = true;
-  tables_.machines.erase(std::string(m.name));
+  tables_.remove_machine(std::string(m.name));
 }
 
 }  // namespace sailreel
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -214,37 +214,24 @@
   if (dirty_machine_shards_.empty() &&
       (stale_image_shards_.empty() || transaction.operations() > hints))
     return;
-  const MachineShards shards = shards_to_write();
   while (!dirty_machine_shards_.empty()) {
     const std::size_t shard = *dirty_machine_shards_.begin();
-    if (!add_machine_shard(transaction, shard, shards.at(shard))) break;
+    if (!add_machine_shard(transaction, shard)) break;
   }
   while (!stale_image_shards_.empty() && transaction.operations() <= hints) {
     const std::size_t shard = *stale_image_shards_.begin();
-    if (!add_machine_shard(transaction, shard, shards.at(shard))) break;
+    if (!add_machine_shard(transaction, shard)) break;
   }
 }
 
-// The machines of all shards that have changed, found in one look at all. A look at all for each
-// shard grew with the square of a fleet that boots: at some 5,000 machines the leader lost its
-// lease.
-Core::MachineShards Core::shards_to_write() const {
-  MachineShards out;
-  for (const auto* changed : {&dirty_machine_shards_, &stale_image_shards_})
-    for (const std::size_t shard : *changed) out[shard];
-  for (const auto& [name, m] : tables_.machines) {
-    if (!m->recorded && !m->record_dirty) continue;
-    if (const auto it = out.find(machine_shard(name)); it != out.end())
-      it->second.push_back(m.get());
-  }
-  return out;
-}
-
-bool Core::add_machine_shard(TransactionBuilder& transaction, std::size_t shard,
-                             const std::vector<const Machine*>& machines) {
+// The machines of the shard alone are looked at. A look at all machines for each shard grew with
+// the square of a fleet that boots: at some 5,000 machines the leader lost its lease.
+bool Core::add_machine_shard(TransactionBuilder& transaction, std::size_t shard) {
   std::vector<MachineRecord> list;
   std::vector<std::string> names;
-  for (const Machine* m : machines) {
+  for (const Machine* m : tables_.machines_of_shard(shard)) {
+    ++examined_;
+    if (!m->recorded && !m->record_dirty) continue;
     list.push_back({m->name, m->address, {m->images.begin(), m->images.end()}});
     names.push_back(m->name);
   }
@@ -585,9 +572,13 @@
   const std::string id = job.spec().id;
   log(Log::Level::Info, "event=", job.record.phase == Phase::Done ? "job_done" : "job_cancelled",
       " job=", id);
-  for (auto& [name, m] : tables_.machines)
+  for (const std::string& name : job.machines_used) {
+    ++examined_;
+    Machine* m = tables_.machine(name);
+    if (m == nullptr) continue;
     for (Placement& p : m->placements)
       if (p.job == &job) p.job = nullptr;
+  }
   gangs_.erase(id);
   tables_.finished[id] = {job.record.phase, job.spec().tasks, job.record.seq};
   std::erase(dirty_jobs_, &job);
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -104,6 +104,7 @@
   jobs.clear();
   finished.clear();
   machines.clear();
+  machines_by_shard_.clear();
   for (TeamBook& t : teams) t.used = {};
 }
 
@@ -164,10 +165,28 @@
     slot->name = name;
     slot->rented = now;
     slot->idle_since = now;
+    machines_by_shard_[machine_shard(name)].insert(name);
   }
   return *slot;
 }
 
+void Tables::remove_machine(const std::string& name) {
+  const std::size_t shard = machine_shard(name);
+  if (const auto it = machines_by_shard_.find(shard); it != machines_by_shard_.end()) {
+    it->second.erase(name);
+    if (it->second.empty()) machines_by_shard_.erase(it);
+  }
+  machines.erase(name);
+}
+
+std::vector<const Machine*> Tables::machines_of_shard(std::size_t shard) const {
+  std::vector<const Machine*> out;
+  const auto it = machines_by_shard_.find(shard);
+  if (it == machines_by_shard_.end()) return out;
+  for (const std::string& name : it->second) out.push_back(machines.at(name).get());
+  return out;
+}
+
 void Tables::size_machine(Machine& m) const {
   if (m.sized || m.type.empty()) return;
   if (const MachineType* t = type(m.type)) {
@@ -189,6 +208,7 @@
   task.machine = &m;
   ++job.placed;
   ++job.per_zone[m.zone];
+  job.machines_used.insert(m.name);
   m.used += job.spec().need;
   Placement p;
   p.job = &job;
@@ -237,16 +257,16 @@
 }
 
 bool Tables::allowed(const Job& job, const Machine& m) const {
-  return suits(job.spec(), m) && zone_open(job, m);
+  return suits(job.spec(), m) && zone_open(job, m.zone);
 }
 
-bool Tables::zone_open(const Job& job, const Machine& m) const {
+bool Tables::zone_open(const Job& job, const std::string& zone) {
   const JobSpec& s = job.spec();
   // Tasks whose place isn't known yet could be in any zone.
   if ((s.one_zone || s.spread) && job.unknown > 0) return false;
-  if (s.one_zone && !job.per_zone.empty() && !job.per_zone.contains(m.zone)) return false;
+  if (s.one_zone && !job.per_zone.empty() && !job.per_zone.contains(zone)) return false;
   if (s.spread) {
-    const auto it = job.per_zone.find(m.zone);
+    const auto it = job.per_zone.find(zone);
     if (it != job.per_zone.end() && it->second >= job.zone_cap()) return false;
   }
   return true;
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -55,6 +55,8 @@
   std::uint32_t queued = 0, unknown = 0, placed = 0, running = 0;
   std::uint32_t next_queued = 0;                  // no task below is queued
   std::map<std::string, std::uint32_t> per_zone;  // placed tasks
+  /// Machines that have, or had, a placement that names the job.
+  std::set<std::string> machines_used;
   std::set<std::string> error_machines;
   std::uint32_t errors = 0;
   bool proven = false;  // a task of it has run as it should
@@ -152,6 +154,8 @@
   std::vector<Fetch> fetching_now;
   /// How many of its images belong to work that is more important, by priority.
   std::array<std::uint32_t, kPriorities> reserved{};
+  /// Its places among the machines of the present pass that take work, and that have room.
+  std::optional<std::size_t> open_index, room_index;
 
   [[nodiscard]] Resources room() const {
     Resources r = size;
@@ -196,6 +200,9 @@
   Job& add_job(JobRecord record);
   void remove_job(const std::string& id);
   Machine& add_machine(const std::string& name, Time now);
+  void remove_machine(const std::string& name);
+  /// The machines of a shard of the checkpoint, in the order of their names.
+  [[nodiscard]] std::vector<const Machine*> machines_of_shard(std::size_t shard) const;
   /// Gives a machine its type's size, once types are known.
   void size_machine(Machine& m) const;
 
@@ -209,7 +216,7 @@
   [[nodiscard]] bool allowed(const Job& job, const Machine& m) const;
   /// The part of it that no other task has a say in, and the part that the job's other tasks have.
   [[nodiscard]] bool suits(const JobSpec& s, const Machine& m) const;
-  [[nodiscard]] bool zone_open(const Job& job, const Machine& m) const;
+  [[nodiscard]] static bool zone_open(const Job& job, const std::string& zone);
   [[nodiscard]] bool type_allowed(const JobSpec& s, const std::string& type) const;
   void mark_done(Job& job, std::uint32_t index);
   /// Tasks that weren't found anywhere are queued.
@@ -225,6 +232,7 @@
 
  private:
   std::uint64_t next_order_ = 1;
+  std::unordered_map<std::size_t, std::set<std::string>> machines_by_shard_;
 };
 
 }  // namespace sailreel
--- /dev/null
+++ b/tests/large_fleet_test.cpp
@@ -0,0 +1,89 @@
+// Fleets of thousands of machines: the rules hold through a cold start, a take-over and the loss of
+// a zone, and what is looked at grows with the fleet, not with its square.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <cstdio>
+
+#include "support/scenarios.hpp"
+
+namespace sailreel::sim {
+namespace {
+
+constexpr std::uint32_t kMachinesPerScale = 12;
+
+/// A day of a fleet of about so many machines, whose services have grown with it.
+DayPlan large_day(std::uint32_t machines, std::uint64_t seed) {
+  constexpr double kWritesPerMachine = 0.1;
+  DayPlan plan = quiet(seed);
+  plan.scale = machines / kMachinesPerScale;
+  plan.boots_ms = 4'000;
+  Deployment deployment = sample_deployment(plan);
+  deployment.one_in_never_up = 0;
+  deployment.state_write_rps = std::max(90.0, kWritesPerMachine * machines);
+  deployment.state_rps = 10 * deployment.state_write_rps;
+  for (Settings& settings : deployment.controllers) {
+    settings.workers.report_s = 2.5;
+    settings.store.rps = deployment.state_rps;
+    settings.store.write_rps = deployment.state_write_rps;
+    settings.market.rps = std::max(4.0, machines / 100.0);
+  }
+  plan.deployment = deployment;
+  return plan;
+}
+
+/// Two jobs for every three machines within ten seconds: replicas of two priorities, and arrays
+/// that end and are stopped for what comes after them.
+void submit_burst(World& world, std::uint32_t machines, std::uint64_t seed) {
+  constexpr std::uint32_t kImages = 6;
+  pcg32 random(seed);
+  const std::uint32_t jobs = machines * 2 / 3;
+  for (std::uint32_t n = 0; n < jobs; ++n) {
+    JobSpec spec = n % 2 == 0 ? array(job_id(n), 8 + random(17), 10 + random(20))
+                              : service(job_id(n), 4 + random(9));
+    spec.team = n % 3 == 0 ? "blue" : "red";
+    spec.image = "img-" + std::to_string(random(kImages));
+    spec.priority = spec.kind == JobKind::Array ? Priority::Low : static_cast<Priority>(random(2));
+    spec.spread = spec.kind == JobKind::Service && random(3) == 0;
+    const bool ends = spec.kind == JobKind::Service && random(3) == 0;
+    world.submit(spec, ends ? world.now() + 25'000 + random(15'000) : 0);
+    if (n % (jobs / 100 + 1) == 0) world.run_until(world.now() + 100);
+  }
+}
+
+struct Work {
+  double machines = 0;
+  double looked_at = 0;
+};
+
+Work work_of_a_burst(std::uint32_t machines) {
+  DayPlan plan = large_day(machines, 5);
+  World world(plan);
+  world.run_until(1'000);
+  submit_burst(world, machines, 5);
+  world.run_until(60'000);
+  const std::size_t leader = leader_of(world);
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+  Work work{static_cast<double>(world.machines_up().size()),
+            static_cast<double>(world.core(leader)->examined())};
+  std::printf("machines %.0f, looked at %.0f, %.1f for each report\n", work.machines,
+              work.looked_at, work.looked_at / static_cast<double>(world.reports()));
+  return work;
+}
+
+// A burst of work and its end. With the square of the fleet the slope would be 2.
+TEST(LargeFleet, WorkGrowsWithTheFleetNotWithItsSquare) {
+  const Work small = work_of_a_burst(500);
+  const Work middle = work_of_a_burst(2'000);
+  const Work large = work_of_a_burst(8'000);
+  ASSERT_GT(large.machines, 5'000);
+  const auto slope = [](const Work& a, const Work& b) {
+    return std::log(b.looked_at / a.looked_at) / std::log(b.machines / a.machines);
+  };
+  std::printf("slopes %.2f, %.2f\n", slope(small, middle), slope(middle, large));
+  EXPECT_LT(slope(small, middle), 1.25);
+  EXPECT_LT(slope(middle, large), 1.25);
+}
+
+}  // namespace
+}  // namespace sailreel::sim
