--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -84,7 +84,7 @@
   void renew();
   void step_down(const char* why);
   void revoke(std::uint64_t lease);
-  void abdicate();
+  void abdicate(const char* why);
   void peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat);
   void send_heartbeats();
 
@@ -272,7 +272,6 @@
                   const std::string& zone);
   [[nodiscard]] bool late_if_cold(const Job& job, const Machine& m, const char* aim) const;
   std::uint64_t attempt_number();
-  static constexpr unsigned kAttemptBits = 28;
   /// How good a choice a machine is, less being better; by importance of what it compares.
   using Fit = std::array<double, 6>;
   static constexpr std::size_t kFitFailed = 0, kFitTogether = 4;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -15,6 +15,8 @@
   if (now >= next_heartbeat_) send_heartbeats();
   if (role_ == Role::Leader || role_ == Role::Loading) {
     if (in_command(now)) last_path_ = now;
+    if (role_ == Role::Leader && next_attempt_ > options_.attempts_per_epoch)
+      return abdicate("attempt numbers are used up");
     if (now >= next_renew_) renew();
     return;
   }
@@ -284,12 +286,12 @@
 
 // Gives the lease back, so that another can take it at once, and leaves it to the others for a
 // while.
-void Core::abdicate() {
+void Core::abdicate(const char* why) {
   revoke(lease_);
   stand_back_until_ = clock_.now + worker_lease();
   // Another may lead from now on, and reckons from then with whom we keep alive.
   lease_deadline_ = std::min(lease_deadline_, clock_.now);
-  step_down("no worker is heard");
+  step_down(why);
 }
 
 void Core::peer_heartbeat(std::size_t sibling, const PeerHeartbeat& heartbeat) {
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -508,7 +508,7 @@
   });
   if (in_command(now) && !settings_.siblings.empty() && up > 1 &&
       now - led_since_ > unheard_after && (fresh == 0 || (alone && fresh * 4 <= up)))
-    return abdicate();
+    return abdicate("no worker is heard");
   const bool few = few_silent(silent, up);
   for (auto& [name, ptr] : tables_.machines) {
     Machine& m = *ptr;
--- a/src/protocol/settings.hpp
+++ b/src/protocol/settings.hpp
@@ -1,6 +1,7 @@
 // The settings file that the platform hands over, and the operators' own options.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -83,6 +84,11 @@
 /// The regions but this one, in their order.
 std::vector<std::string> other_regions(const FederationOptions& options);
 
+/// An attempt's number has the epoch above so many bits.
+inline constexpr unsigned kAttemptBits = 28;
+/// More than one pass of placement takes before its leader looks at what is left.
+inline constexpr std::uint64_t kSpareAttempts = std::uint64_t{1} << 24;
+
 /// What operators may set beside the platform's file. Each is a ratio to a figure of that file.
 struct Options {
   /// Length of the leader's lease, as a share of the workers' lease.
@@ -95,6 +101,9 @@
   double state_share = 0.7;
   /// Share of its writes that a leader uses. The others write only when they claim the lease.
   double write_share = 0.9;
+  /// Starts under one epoch, after which the leader makes room for the next. Not in the operators'
+  /// file: attempt numbers hold no more than the default.
+  std::uint64_t attempts_per_epoch = (std::uint64_t{1} << kAttemptBits) - kSpareAttempts;
   FederationOptions federation;
 };
 
--- a/tests/fixed_limits_test.cpp
+++ b/tests/fixed_limits_test.cpp
@@ -90,6 +90,23 @@
   EXPECT_GT(refused, 0U) << "those beyond the sockets are refused at once";
 }
 
+// Attempt numbers of an epoch would run into those of the next. The leader makes room for another
+// before, and the work goes on under that one.
+TEST(FixedLimits, UsedUpAttemptNumbersChangeTheLeader) {
+  DayPlan plan = quiet(51);
+  plan.options.attempts_per_epoch = 60;
+  World world(plan);
+  world.run_until(1'000);
+  for (std::size_t n = 0; n < 30; ++n) {
+    world.submit(array(job_id(n), 6, 5));
+    world.run_until(world.now() + 2'000);
+  }
+  world.run();
+  EXPECT_GE(world.core(leader_of(world))->epoch(), 3U) << "180 tasks";
+  EXPECT_TRUE(world.checker().violations().empty()) << world.checker().summary();
+  EXPECT_TRUE(world.checker().unfinished_arrays().empty());
+}
+
 TEST(FixedLimits, SocketsAreSharedOutWithinTheLimit) {
   for (const std::size_t siblings : {0U, 2U, 4U, 20U})
     for (const std::uint64_t sockets : {8U, 30U, 100U, 500U, 700U, 20'000U}) {
