--- a/src/app/options.cpp
+++ b/src/app/options.cpp
@@ -1,25 +1,16 @@
 #include "app/options.hpp"
 
-#include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/text_format.h>
 
 #include <fstream>
 #include <sstream>
 
+#include "app/text_format_errors.hpp"
 #include "options.pb.h"
 
 namespace sailreel {
 namespace {
 
-/// Keeps the first complaint of the parser.
-class FirstError : public google::protobuf::io::ErrorCollector {
- public:
-  void AddError(int line, int, const std::string& text) override {
-    if (message.empty()) message = "line " + std::to_string(line + 1) + ": " + text;
-  }
-  std::string message;
-};
-
 ShareOption read_share(const config::Federation::Share& in) {
   return {in.team(), in.region(), in.cpus(), in.gpus()};
 }
--- a/src/coordination/capacity_check.cpp
+++ b/src/coordination/capacity_check.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "coordination/resource_ratios.hpp"
 #include "storage/checkpoint.hpp"
 
 namespace sailreel {
@@ -21,12 +22,9 @@
 constexpr double kLeaderMb = 8.1;
 constexpr double kMachineMb = 0.0022;
 
-double machines_of_size(const Resources& total, const Resources& size) {
-  double machines = 0;
-  if (total.gpus > 0)
-    machines = size.gpus > 0 ? total.gpus / size.gpus : std::numeric_limits<double>::infinity();
-  if (total.cpus > 0 && size.cpus > 0) machines = std::max(machines, total.cpus / size.cpus);
-  return machines;
+/// Whether any number of machines of that size holds so much.
+bool can_hold(const Resources& total, const Resources& size) {
+  return (total.gpus <= 0 || size.gpus > 0) && (total.cpus <= 0 || size.cpus > 0);
 }
 
 }  // namespace
@@ -65,7 +63,8 @@
   for (const Team& team : settings.teams) guaranteed += Resources{team.cpus, team.gpus, 0};
   double least = std::numeric_limits<double>::infinity();
   for (const MachineType& type : types)
-    least = std::min(least, machines_of_size(guaranteed, type.size));
+    if (can_hold(guaranteed, type.size))
+      least = std::min(least, machines_for(guaranteed, type.size));
   return types.empty() ? 0 : least;
 }
 
--- a/src/coordination/fleet_sizing.cpp
+++ b/src/coordination/fleet_sizing.cpp
@@ -4,6 +4,7 @@
 
 #include "coordination/capacity_check.hpp"
 #include "coordination/core.hpp"
+#include "coordination/resource_ratios.hpp"
 
 namespace sailreel {
 namespace {
@@ -33,23 +34,6 @@
   return {r.cpus * share, r.gpus * share, r.memory_gb * share};
 }
 
-/// How many tasks of that need a machine takes; what they don't need doesn't bound it.
-double slots_on(const Resources& size, const Resources& each) {
-  double slots = 1e9;
-  if (each.cpus > 0) slots = std::min(slots, size.cpus / each.cpus);
-  if (each.gpus > 0) slots = std::min(slots, size.gpus / each.gpus);
-  if (each.memory_gb > 0) slots = std::min(slots, size.memory_gb / each.memory_gb);
-  return slots;
-}
-
-/// How many machines of that size hold so much.
-double machines_for(const Resources& total, const Resources& size) {
-  double machines = 0;
-  if (size.gpus > 0) machines = std::max(machines, total.gpus / size.gpus);
-  if (size.cpus > 0) machines = std::max(machines, total.cpus / size.cpus);
-  if (size.memory_gb > 0) machines = std::max(machines, total.memory_gb / size.memory_gb);
-  return machines;
-}
 }  // namespace
 
 void Core::fleet_tick() {
@@ -126,6 +110,7 @@
 void Core::take_list(const CloudReply& r) {
   const Time now = clock_.now;
   listing_ = false;
+  listed_up_to_.clear();
   if (r.status != 200) return;
   for (const ListedMachine& l : r.machines) {
     // Lists lag: what we returned is listed for a while.
@@ -150,7 +135,6 @@
     // A failed machine has stopped by itself; returning it takes it off the list.
     if (l.state == ListedMachine::State::Failed && !m.releasing) release(m, "failed");
   }
-  listed_up_to_.clear();
   if (r.more && !r.machines.empty()) {
     listed_up_to_ = r.machines.back().name;
     return ask_for_list();
@@ -215,7 +199,7 @@
       return (want.zone.empty() || want.zone == zone) && may_rent({type.name, spot}, zone);
     });
     if (!open) continue;
-    const double slots = std::max(1.0, std::floor(slots_on(type.size, want.each)));
+    const double slots = std::max(1.0, std::floor(task_slots(type.size, want.each)));
     const double price = (spot ? type.spot_price : type.price) / slots;
     if (best != nullptr && price >= best_price) continue;
     best = &type;
--- a/src/coordination/gang_scheduling.cpp
+++ b/src/coordination/gang_scheduling.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 
 #include "coordination/core.hpp"
+#include "coordination/resource_ratios.hpp"
 
 namespace sailreel {
 namespace {
@@ -15,12 +16,7 @@
 constexpr double kFailedThere = 60, kOrdinaryForSpot = 2, kStrandedGpu = 0.1;
 
 std::uint32_t slots_in(const Resources& room, const Resources& each, std::uint32_t most) {
-  constexpr double kSlack = 1e-6;
-  double slots = most;
-  if (each.cpus > 0) slots = std::min(slots, (room.cpus + kSlack) / each.cpus);
-  if (each.gpus > 0) slots = std::min(slots, (room.gpus + kSlack) / each.gpus);
-  if (each.memory_gb > 0) slots = std::min(slots, (room.memory_gb + kSlack) / each.memory_gb);
-  return static_cast<std::uint32_t>(std::floor(std::max(0.0, slots)));
+  return static_cast<std::uint32_t>(std::floor(std::min<double>(most, task_slots(room, each))));
 }
 
 }  // namespace
--- a/tests/fixed_limits_test.cpp
+++ b/tests/fixed_limits_test.cpp
@@ -144,6 +144,10 @@
   small.size.gpus = 4;
   EXPECT_EQ(described_machines(settings, {sample_type(), small}), 4'000);
   EXPECT_EQ(described_machines(settings, {}), 0);
+  MachineType without_gpus = sample_type();
+  without_gpus.size.gpus = 0;
+  EXPECT_EQ(described_machines(settings, {sample_type(), without_gpus}), 4'000);
+  EXPECT_GT(described_machines(settings, {without_gpus}), 1e9) << "no number of them is enough";
 }
 
 // A deployment that its limits can't carry starts all the same, and says so once for each leader.
--- a/tools/scale/plan.cpp
+++ b/tools/scale/plan.cpp
@@ -1,12 +1,13 @@
 #include "scale/plan.hpp"
 
-#include <google/protobuf/io/tokenizer.h>
 #include <google/protobuf/text_format.h>
 
 #include <fstream>
 #include <set>
 #include <sstream>
 
+#include "app/text_format_errors.hpp"
+
 namespace sailreel::scale {
 namespace {
 
@@ -15,14 +16,6 @@
 constexpr std::uint32_t kMostControllers = 200;
 constexpr std::uint32_t kMostSeconds = 3'600;
 
-class FirstError : public google::protobuf::io::ErrorCollector {
- public:
-  void AddError(int line, int, const std::string& text) override {
-    if (message.empty()) message = "line " + std::to_string(line + 1) + ": " + text;
-  }
-  std::string message;
-};
-
 [[noreturn]] void fail(const std::string& what) { throw PlanError("plan: " + what); }
 
 void require(bool holds, const std::string& what) {
