Reports and questions that are handed on leave in one packet

Change: frames that may wait leave together after a fortieth of a report's interval, or with the next that may not; while the leader hasn't answered the last batch, after an eighth. Frames themselves are as before. Listener and links close what they opened when they end.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -25,6 +25,10 @@
 /// A link to another controller may hold this part of a controller's memory, or a MiB.
 constexpr double kLinkMemoryShare = 1.0 / 32;
 constexpr double kMiB = 1024.0 * 1024;
+/// Reports and questions that are handed on wait for others for this part of a report's interval:
+/// as long as a pass of placement waits for reports that bunch up. While the leader hasn't answered
+/// the last of them, they wait for the larger part.
+constexpr double kBatchesPerReport = 40, kSlowBatchesPerReport = 8;
 
 std::uint64_t seed() {
   std::random_device device;
@@ -44,6 +48,7 @@
         server_(loop_, settings.listen, sockets_.server, kMaxBody, kIdleMs,
                 [this](ServerRequest r) { serve(std::move(r)); }),
         peers_(loop_, settings.peer_listen, sockets_.links, link_backlog(settings),
+               batching(settings),
                {[this](std::uint64_t link, std::string_view b) { return peer_bytes(link, b); },
                 [this](std::uint64_t link) { peer_closed(link); }}),
         siblings_(settings.siblings.size()),
@@ -88,6 +93,13 @@
                                     kMiB);
   }
 
+  static PeerLinks::Batching batching(const Settings& settings) {
+    const auto part = [&](double parts) {
+      return std::max<std::int64_t>(1, ms(settings.workers.report_s / parts));
+    };
+    return {part(kBatchesPerReport), part(kSlowBatchesPerReport)};
+  }
+
   static Clock clock() { return {EventLoop::now_ms(), EventLoop::wall_ms()}; }
 
   void feed(Input input) {
@@ -125,7 +137,9 @@
       if (valid_until != kNever)
         m.answer.valid_ms = static_cast<std::uint32_t>(
             std::clamp<Time>(valid_until - EventLoop::now_ms(), 0, UINT32_MAX - 1));
-      peers_.send(origin.link, encode_peer(m));
+      // What answers the frames that are being read leaves with their last one.
+      peers_.send(origin.link, encode_peer(m),
+                  origin.link == reading_link_ ? Urgency::MayWait : Urgency::Now);
     }
   }
 
@@ -173,7 +187,15 @@
       to.retry_at = EventLoop::now_ms() + kReconnectMs;
       to.link = peers_.connect(address);
     }
-    peers_.send(to.link, encode_peer(message));
+    peers_.send(to.link, encode_peer(message), urgency_of(message));
+  }
+
+  // The next report of a worker, or question of a user, is seconds away, and what it may bring
+  // about waits for that. Submissions, cancellations and heartbeats don't wait for anything.
+  static Urgency urgency_of(const PeerMessage& message) {
+    if (message.kind != PeerMessage::Kind::Request) return Urgency::Now;
+    const UserOp op = message.request.op;
+    return op == UserOp::Report || op == UserOp::Query ? Urgency::MayWait : Urgency::Now;
   }
 
   void act(const ArmTimer& a) { tick_.set(a.in_ms); }
@@ -225,11 +247,15 @@
   bool peer_bytes(std::uint64_t link, std::string_view bytes) {
     PeerReader& reader = readers_[link];
     reader.feed(bytes);
+    reading_link_ = link;
     while (auto message = reader.next()) {
       peer_message(link, std::move(*message));
-      if (!readers_.contains(link)) return true;  // closed meanwhile
+      if (!readers_.contains(link)) break;  // closed meanwhile
     }
-    return !reader.broken();
+    reading_link_ = 0;
+    peers_.flush(link);
+    const auto it = readers_.find(link);
+    return it == readers_.end() || !it->second.broken();
   }
 
   void peer_message(std::uint64_t link, PeerMessage m) {
@@ -288,6 +314,7 @@
   std::vector<OutgoingLink> siblings_;
   std::vector<std::vector<OutgoingLink>> regions_;
   std::unordered_map<std::uint64_t, PeerReader> readers_;
+  std::uint64_t reading_link_ = 0;  // whose frames are being taken in; 0: none
   std::vector<std::size_t> lost_;
   std::unique_ptr<Timer> lost_timer_;
   std::uint64_t sweeps_ = 0;
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -16,30 +16,49 @@
 
 class Listener {
  public:
+  using Arrived = std::function<void(uv_stream_t*)>;
+
   /// After a controller's end, all that had a connection to it may come at once: `connections` says
   /// how many that can be.
-  Listener(EventLoop& loop, const std::string& address, std::size_t connections,
-           std::function<void(uv_stream_t*)> arrived)
-      : arrived_(std::move(arrived)) {
-    uv_tcp_init(loop.raw(), &tcp_);
-    tcp_.data = this;
-    const auto endpoint = parse_endpoint(address);
-    sockaddr_in in{};
-    constexpr std::size_t kLeastBacklog = 256, kMostBacklog = 65'535;
-    const auto backlog = static_cast<int>(std::clamp(connections, kLeastBacklog, kMostBacklog));
-    if (!endpoint || uv_ip4_addr(endpoint->host.c_str(), endpoint->port, &in) != 0 ||
-        uv_tcp_bind(&tcp_, reinterpret_cast<const sockaddr*>(&in), 0) != 0 ||
-        uv_listen(reinterpret_cast<uv_stream_t*>(&tcp_), backlog, [](uv_stream_t* s, int status) {
-          if (status == 0) static_cast<Listener*>(s->data)->arrived_(s);
-        }) != 0)
-      throw std::runtime_error("cannot listen on " + address);
+  Listener(EventLoop& loop, const std::string& address, std::size_t connections, Arrived arrived)
+      : handle_(new Handle) {
+    handle_->arrived = std::move(arrived);
+    handle_->tcp.data = handle_;
+    uv_tcp_init(loop.raw(), &handle_->tcp);
+    if (listen(address, connections)) return;
+    close();
+    throw std::runtime_error("cannot listen on " + address);
   }
+  ~Listener() { close(); }
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
  private:
-  uv_tcp_t tcp_{};
-  std::function<void(uv_stream_t*)> arrived_;
+  /// Lives until the loop has closed it.
+  struct Handle {
+    uv_tcp_t tcp{};
+    Arrived arrived;
+  };
+
+  bool listen(const std::string& address, std::size_t connections) {
+    constexpr std::size_t kLeastBacklog = 256, kMostBacklog = 65'535;
+    const auto backlog = static_cast<int>(std::clamp(connections, kLeastBacklog, kMostBacklog));
+    const auto endpoint = parse_endpoint(address);
+    sockaddr_in in{};
+    if (!endpoint || uv_ip4_addr(endpoint->host.c_str(), endpoint->port, &in) != 0) return false;
+    if (uv_tcp_bind(&handle_->tcp, reinterpret_cast<const sockaddr*>(&in), 0) != 0) return false;
+    const auto on_connection = [](uv_stream_t* stream, int status) {
+      if (status == 0) static_cast<Handle*>(stream->data)->arrived(stream);
+    };
+    return uv_listen(reinterpret_cast<uv_stream_t*>(&handle_->tcp), backlog, on_connection) == 0;
+  }
+
+  void close() {
+    uv_close(reinterpret_cast<uv_handle_t*>(&handle_->tcp),
+             [](uv_handle_t* handle) { delete static_cast<Handle*>(handle->data); });
+  }
+
+  Handle* handle_;
 };
 
 }  // namespace sailreel
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -1,21 +1,35 @@
 #include "transport/peer_link.hpp"
 
+#include <utility>
+
 #include "transport/stream.hpp"
 
 namespace sailreel {
-namespace {}  // namespace
 
 class PeerLinks::Connection : public Stream {
  public:
   Connection(PeerLinks& links, std::uint64_t id) : Stream(links.loop_), links_(links), id_(id) {}
 
-  void send(std::string bytes) {
-    if (connected_)
-      write(std::move(bytes));
-    else
-      waiting_ += bytes;
+  void add(std::string_view bytes) {
+    waiting_.append(bytes);
     if (backlog() + waiting_.size() > links_.max_backlog_) close();
   }
+  [[nodiscard]] bool has_waiting() const { return !waiting_.empty(); }
+  void flush() {
+    if (!connected_ || waiting_.empty()) return;
+    ++links_.writes_;
+    write(std::exchange(waiting_, {}));
+  }
+  /// Sends the batch, unless the other side is slow to answer the last one. False if it still
+  /// waits.
+  bool send_batch(std::int64_t now) {
+    // Nothing to send, or all of it leaves as soon as the connection stands.
+    if (!connected_ || waiting_.empty()) return true;
+    if (now < answer_due_at_) return false;
+    answer_due_at_ = now + links_.batching_.most_ms;
+    flush();
+    return true;
+  }
   void accepted() {
     connected_ = true;
     start();
@@ -24,10 +38,10 @@
  protected:
   void on_connected() override {
     connected_ = true;
-    if (!waiting_.empty()) write(std::move(waiting_));
-    waiting_.clear();
+    flush();
   }
   void on_bytes(std::string_view bytes) override {
+    answer_due_at_ = 0;
     if (!links_.events_.bytes(id_, bytes)) close();
   }
   void on_closed() override {
@@ -38,19 +52,27 @@
  private:
   PeerLinks& links_;
   std::uint64_t id_;
-  std::string waiting_;
+  std::string waiting_;             // for the connection, or for frames to leave with
+  std::int64_t answer_due_at_ = 0;  // 0: something has come back since the last batch
   bool connected_ = false;
 };
 
 PeerLinks::PeerLinks(EventLoop& loop, const std::string& listen, std::size_t max_incoming,
-                     std::size_t max_backlog, Events events)
+                     std::size_t max_backlog, Batching batching, Events events)
     : loop_(loop),
       max_incoming_(max_incoming),
       max_backlog_(max_backlog),
+      batching_(batching),
       events_(std::move(events)),
+      batch_timer_(loop, [this] { send_batches(); }),
       listener_(loop, listen, max_incoming, [this](uv_stream_t* s) { accept(s); }) {}
 
-PeerLinks::~PeerLinks() = default;
+PeerLinks::~PeerLinks() {
+  // Their owner may be half gone already.
+  events_.closed = [](std::uint64_t) {};
+  const auto links = links_;
+  for (const auto& [number, connection] : links) connection->close();
+}
 
 void PeerLinks::accept(uv_stream_t* server) {
   auto* c = new Connection(*this, next_);
@@ -72,8 +94,32 @@
   return id;
 }
 
-void PeerLinks::send(std::uint64_t link, std::string bytes) {
-  if (const auto it = links_.find(link); it != links_.end()) it->second->send(std::move(bytes));
+void PeerLinks::send(std::uint64_t link, std::string bytes, Urgency urgency) {
+  const auto it = links_.find(link);
+  if (it == links_.end()) return;
+  Connection& connection = *it->second;
+  const bool first = !connection.has_waiting();
+  connection.add(bytes);
+  // Too much of it waits, and it was closed.
+  if (connection.closing()) return;
+  if (urgency == Urgency::Now) return connection.flush();
+  if (!first) return;
+  // One timer serves all links; it runs while any of them has frames that wait.
+  if (waiting_links_.empty()) batch_timer_.set(batching_.least_ms);
+  waiting_links_.push_back(link);
+}
+
+void PeerLinks::flush(std::uint64_t link) {
+  if (const auto it = links_.find(link); it != links_.end()) it->second->flush();
+}
+
+void PeerLinks::send_batches() {
+  const std::int64_t now = EventLoop::now_ms();
+  for (const std::uint64_t link : std::exchange(waiting_links_, {})) {
+    const auto it = links_.find(link);
+    if (it != links_.end() && !it->second->send_batch(now)) waiting_links_.push_back(link);
+  }
+  if (!waiting_links_.empty()) batch_timer_.set(batching_.least_ms);
 }
 
 void PeerLinks::close(std::uint64_t link) {
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -14,7 +14,13 @@
 
 namespace sailreel {
 
+/// When a frame has to leave.
+enum class Urgency : std::uint8_t { Now, MayWait };
+
 /// Knows bytes only; cutting them into frames is the receiver's part.
+///
+/// What a controller pays for is packets more than bytes: frames that may wait leave together,
+/// after a while, with the next frame that may not, or when `flush` is called. Their order is kept.
 class PeerLinks {
  public:
   struct Events {
@@ -22,24 +28,40 @@
     std::function<bool(std::uint64_t link, std::string_view bytes)> bytes;
     std::function<void(std::uint64_t link)> closed;
   };
+  /// How long frames may wait for others.
+  struct Batching {
+    std::int64_t least_ms = 1;
+    /// For as long as nothing has come back since the last batch: the other side is slow.
+    std::int64_t most_ms = 1;
+  };
   /// A link that has fallen `max_backlog` bytes behind is closed: what it holds is too old to be of
   /// use.
   PeerLinks(EventLoop& loop, const std::string& listen, std::size_t max_incoming,
-            std::size_t max_backlog, Events events);
+            std::size_t max_backlog, Batching batching, Events events);
   ~PeerLinks();
 
   /// Opens a connection; its frames and its end come under the number returned.
   std::uint64_t connect(const std::string& address);
-  void send(std::uint64_t link, std::string bytes);
+  void send(std::uint64_t link, std::string bytes, Urgency urgency = Urgency::Now);
+  /// Sends what waits on the link.
+  void flush(std::uint64_t link);
   void close(std::uint64_t link);
+  /// How often bytes were handed to the system: a measure of packets.
+  [[nodiscard]] std::uint64_t writes() const { return writes_; }
 
  private:
   class Connection;
   void accept(uv_stream_t* server);
+  void send_batches();
 
   EventLoop& loop_;
   std::size_t max_incoming_, max_backlog_;
+  Batching batching_;
   Events events_;
+  std::uint64_t writes_ = 0;
+  /// Links on which frames may wait; some may have been flushed or closed meanwhile.
+  std::vector<std::uint64_t> waiting_links_;
+  Timer batch_timer_;
   std::uint64_t next_ = 1;
   std::unordered_map<std::uint64_t, Connection*> links_;
   Listener listener_;
--- /dev/null
+++ b/tests/peer_link_test.cpp
@@ -0,0 +1,151 @@
+// Links between controllers over loopback sockets: frames leave in their order and together, and no
+// frame is left behind.
+#include "transport/peer_link.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+namespace sailreel {
+namespace {
+
+constexpr std::int64_t kPatienceMs = 20'000;
+constexpr std::size_t kBacklog = std::size_t{1} << 20;
+
+/// An address of this process alone: test cases run side by side.
+std::string own_address(const char* port) {
+  const int pid = getpid();
+  return "127.88." + std::to_string(pid / 250 % 250) + "." + std::to_string(pid % 250 + 1) + port;
+}
+
+/// Two controllers' links on one event loop; the first sends to the second.
+class PeerLinkPair {
+ public:
+  explicit PeerLinkPair(PeerLinks::Batching batching)
+      : from_(loop_, own_address(":18081"), 8, kBacklog, batching,
+              {[](std::uint64_t, std::string_view) { return true; }, [](std::uint64_t) {}}),
+        to_(loop_, own_address(":18082"), 8, kBacklog, batching,
+            {[this](std::uint64_t link, std::string_view bytes) {
+               back_ = link;
+               received_.append(bytes);
+               return true;
+             },
+             [](std::uint64_t) {}}),
+        alarm_(loop_, [this] { rang_ = true; }),
+        link_(from_.connect(own_address(":18082"))) {
+    // The first frame waits for the connection; from then on writes are counted.
+    from_.send(link_, "0");
+    wait_for("0");
+    received_.clear();
+    writes_before_ = from_.writes();
+  }
+
+  void send(const std::string& frame, Urgency urgency) { from_.send(link_, frame, urgency); }
+  void flush() { from_.flush(link_); }
+  void answer() { to_.send(back_, "answer"); }
+  [[nodiscard]] std::uint64_t writes() const { return from_.writes() - writes_before_; }
+  [[nodiscard]] const std::string& received() const { return received_; }
+
+  void run_for(std::int64_t span_ms) {
+    rang_ = false;
+    alarm_.set(span_ms);
+    while (!rang_) uv_run(loop_.raw(), UV_RUN_ONCE);
+  }
+  /// Runs until that has arrived, or patience is over.
+  void wait_for(const std::string& bytes) {
+    rang_ = false;
+    alarm_.set(kPatienceMs);
+    while (!rang_ && received_.size() < bytes.size()) uv_run(loop_.raw(), UV_RUN_ONCE);
+    EXPECT_EQ(received_, bytes);
+  }
+
+ private:
+  EventLoop loop_;
+  PeerLinks from_, to_;
+  Timer alarm_;
+  bool rang_ = false;
+  std::string received_;
+  std::uint64_t back_ = 0, writes_before_ = 0;
+  const std::uint64_t link_;
+};
+
+// A ceiling on what a report that is handed on costs: 20 of them took 20 writes before, one now.
+TEST(PeerLink, FramesThatMayWaitLeaveTogether) {
+  PeerLinkPair links({30, 30});
+  std::string sent;
+  for (int frame = 0; frame < 20; ++frame) {
+    links.send("report;", Urgency::MayWait);
+    sent += "report;";
+  }
+  EXPECT_EQ(links.writes(), 0U);
+  links.wait_for(sent);
+  EXPECT_EQ(links.writes(), 1U);
+}
+
+TEST(PeerLink, AFrameThatMayNotWaitTakesTheOthersAlong) {
+  PeerLinkPair links({kPatienceMs, kPatienceMs});
+  links.send("report;", Urgency::MayWait);
+  links.send("question;", Urgency::MayWait);
+  links.send("submission;", Urgency::Now);
+  EXPECT_EQ(links.writes(), 1U);
+  links.wait_for("report;question;submission;");
+  links.send("answer;", Urgency::MayWait);
+  links.flush();
+  EXPECT_EQ(links.writes(), 2U);
+  links.wait_for("report;question;submission;answer;");
+}
+
+// What a slow leader hasn't answered yet isn't added to, packet by packet.
+TEST(PeerLink, BatchesGrowWhileTheOtherSideIsSlow) {
+  PeerLinkPair links({5, kPatienceMs * 10});
+  links.send("1", Urgency::MayWait);
+  links.wait_for("1");
+  links.send("2", Urgency::MayWait);
+  links.send("3", Urgency::MayWait);
+  links.run_for(100);
+  EXPECT_EQ(links.writes(), 1U);
+  links.answer();
+  links.wait_for("123");
+  EXPECT_EQ(links.writes(), 2U);
+}
+
+TEST(PeerLink, ABatchLeavesWithoutAnAnswerInTheEnd) {
+  PeerLinkPair links({5, 50});
+  links.send("1", Urgency::MayWait);
+  links.wait_for("1");
+  links.send("2", Urgency::MayWait);
+  links.wait_for("12");
+}
+
+// Whatever comes in whatever order, all of it arrives, once and in its order.
+TEST(PeerLink, NoFrameIsLostOrOvertaken) {
+  enum class Step : std::uint8_t { SendNow, SendLater, Flush, Answer, Run };
+  const bool held = rc::check("frames arrive in order", [] {
+    const auto steps = *rc::gen::container<std::vector<Step>>(rc::gen::element(
+        Step::SendNow, Step::SendLater, Step::SendLater, Step::Flush, Step::Answer, Step::Run));
+    PeerLinkPair links({1, 4});
+    std::string sent;
+    int next = 0;
+    for (const Step step : steps) {
+      const std::string frame = std::to_string(next) + ";";
+      if (step == Step::SendNow || step == Step::SendLater) {
+        links.send(frame, step == Step::SendNow ? Urgency::Now : Urgency::MayWait);
+        sent += frame;
+        ++next;
+      }
+      if (step == Step::Flush) links.flush();
+      if (step == Step::Answer) links.answer();
+      if (step == Step::Run) links.run_for(1);
+    }
+    links.wait_for(sent);
+    RC_ASSERT(links.received() == sent);
+    RC_ASSERT(links.writes() <= static_cast<std::uint64_t>(next));
+  });
+  EXPECT_TRUE(held);
+}
+
+}  // namespace
+}  // namespace sailreel
