--- a/tests/machine_ranking_test.cpp
+++ b/tests/machine_ranking_test.cpp
@@ -4,14 +4,11 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
-#include <cstdlib>
+#include "support/properties.hpp"
 
 namespace sailreel {
 namespace {
 
-/// The cases are the same on every run.
-void fix_cases() { setenv("RC_PARAMS", "seed=1 max_success=300", 1); }
-
 using Ranking = MachineRanking<int>;
 
 /// Machines with a score for the kind of job, and what one job has against some of them.
@@ -63,7 +60,7 @@
 }
 
 TEST(MachineRanking, ChoosesAsALookAtAllMachinesWould) {
-  fix_cases();
+  fix_cases(300);
   const bool held = rc::check([] {
     Fleet fleet = any_fleet();
     Ranking ranking(
--- a/tests/peer_link_test.cpp
+++ b/tests/peer_link_test.cpp
@@ -6,9 +6,12 @@
 #include <rapidcheck.h>
 #include <unistd.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "support/properties.hpp"
+
 namespace sailreel {
 namespace {
 
@@ -34,7 +37,7 @@
                return true;
              },
              [](std::uint64_t) {}}),
-        alarm_(loop_, [this] { rang_ = true; }),
+        alarm_(loop_, [this] { ring(); }),
         link_(from_.connect(own_address(":18082"))) {
     // The first frame waits for the connection; from then on writes are counted.
     from_.send(link_, "0");
@@ -50,19 +53,28 @@
   [[nodiscard]] const std::string& received() const { return received_; }
 
   void run_for(std::int64_t span_ms) {
-    rang_ = false;
-    alarm_.set(span_ms);
+    set_alarm(span_ms);
     while (!rang_) uv_run(loop_.raw(), UV_RUN_ONCE);
   }
   /// Runs until that has arrived, or patience is over.
   void wait_for(const std::string& bytes) {
-    rang_ = false;
-    alarm_.set(kPatienceMs);
+    set_alarm(kPatienceMs);
     while (!rang_ && received_.size() < bytes.size()) uv_run(loop_.raw(), UV_RUN_ONCE);
     EXPECT_EQ(received_, bytes);
   }
 
  private:
+  void set_alarm(std::int64_t span_ms) {
+    rang_ = false;
+    alarm_.set(span_ms);
+  }
+  /// An alarm that is due as a turn of the loop begins must end that turn: with no other timer set,
+  /// the loop would go on to wait for the sockets without an end (docs/incidents/hanging-test.md).
+  void ring() {
+    rang_ = true;
+    uv_stop(loop_.raw());
+  }
+
   EventLoop loop_;
   PeerLinks from_, to_;
   Timer alarm_;
@@ -92,7 +104,7 @@
   links.send("submission;", Urgency::Now);
   EXPECT_EQ(links.writes(), 1U);
   links.wait_for("report;question;submission;");
-  links.send("answer;", Urgency::MayWait);
+  links.send("answer;", Urgency::UntilFlush);
   links.flush();
   EXPECT_EQ(links.writes(), 2U);
   links.wait_for("report;question;submission;answer;");
@@ -120,26 +132,43 @@
   links.wait_for("12");
 }
 
+enum class Step : std::uint8_t { SendNow, SendLater, SendHeld, Flush, Answer, Run };
+
+std::optional<Urgency> urgency_of(Step step) {
+  if (step == Step::SendNow) return Urgency::Now;
+  if (step == Step::SendLater) return Urgency::MayWait;
+  if (step == Step::SendHeld) return Urgency::UntilFlush;
+  return {};
+}
+
 // Whatever comes in whatever order, all of it arrives, once and in its order.
 TEST(PeerLink, NoFrameIsLostOrOvertaken) {
-  enum class Step : std::uint8_t { SendNow, SendLater, Flush, Answer, Run };
+  fix_cases(200);
   const bool held = rc::check("frames arrive in order", [] {
     const auto steps = *rc::gen::container<std::vector<Step>>(rc::gen::element(
-        Step::SendNow, Step::SendLater, Step::SendLater, Step::Flush, Step::Answer, Step::Run));
+        Step::SendNow, Step::SendLater, Step::SendLater, Step::SendHeld, Step::Flush, Step::Answer,
+        Step::Run));
     PeerLinkPair links({1, 4});
     std::string sent;
     int next = 0;
+    bool held = false;
     for (const Step step : steps) {
       const std::string frame = std::to_string(next) + ";";
-      if (step == Step::SendNow || step == Step::SendLater) {
-        links.send(frame, step == Step::SendNow ? Urgency::Now : Urgency::MayWait);
+      if (const auto urgency = urgency_of(step)) {
+        links.send(frame, *urgency);
+        held = urgency == Urgency::UntilFlush;
         sent += frame;
         ++next;
       }
-      if (step == Step::Flush) links.flush();
+      if (step == Step::Flush) {
+        links.flush();
+        held = false;
+      }
       if (step == Step::Answer) links.answer();
       if (step == Step::Run) links.run_for(1);
     }
+    // Nothing but a flush may be needed, and that only for a frame which asked for one.
+    if (held) links.flush();
     links.wait_for(sent);
     RC_ASSERT(links.received() == sent);
     RC_ASSERT(links.writes() <= static_cast<std::uint64_t>(next));
