A processor that can't carry the deployment is warned of; slow scenes are slow in themselves; work of a second in trouble

Cause: nothing told operators of too little processor time. Three of the nine slow scenes had waits of 36 to 69 ms only, as the check of the least wait was met by the cold start before them. Change: TimerLateness watches the core's own tick: where most ticks of a worker's lease come late by a tenth of a report's interval or more, one line, event=processor_limit. It reads no clock: armed and fired are moments of the core's inputs. Each scene's wait is measured by itself, and those three are played with all controllers six times as slow. work_cost_test counts a quiet second, a take-over's and an outage's. Per second, all controllers: 568 allocations quiet, 640 in a take-over, 1,009 in an outage with users who submit.

--- a/sim/world.hpp
+++ b/sim/world.hpp
@@ -193,6 +193,7 @@
   [[nodiscard]] const std::vector<Time>& submission_delays() const { return submission_delays_; }
   /// The longest time for which an input waited for its controller's processor.
   [[nodiscard]] Time longest_input_wait() const { return longest_input_wait_; }
+  void forget_input_waits() { longest_input_wait_ = 0; }
   [[nodiscard]] std::uint64_t reports() const { return reports_; }
   [[nodiscard]] std::uint64_t malformed_answers() const { return malformed_; }
   /// How often a gang has started, and how much of its progress is saved.
--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -10,6 +10,8 @@
 /// One in so many of our sockets may wait for workers' answers to direct calls; a few more are open
 /// for calls that are just over.
 constexpr std::size_t kCallShare = 5;
+/// A tick is late from this share of a report's interval on: users and workers wait as long.
+constexpr Time kLateTickShare = 10;
 }  // namespace
 
 Core::Core(Settings settings, Options options, std::uint64_t seed)
@@ -18,6 +20,7 @@
       random_(seed),
       tables_(settings_),
       limits_(settings_, options_.federation, tables_),
+      lateness_(report_interval() / kLateTickShare, worker_lease()),
       state_limiter_(settings_.store.rps * options_.state_share,
                      settings_.store.rps * options_.state_share),
       write_limiter_(settings_.store.write_rps * options_.write_share,
@@ -70,6 +73,7 @@
 }
 
 void Core::tick() {
+  watch_lateness();
   election_tick();
   intake_tick();
   if (role_ == Role::Leader) {
@@ -84,9 +88,19 @@
       move_tick();
     }
   }
+  lateness_.armed(clock_.now + tick_ms(settings_));
   out_.push_back(ArmTimer{tick_ms(settings_)});
 }
 
+// Says so, once for each worker's lease, if most ticks come late: the processor can't carry what
+// the settings describe.
+void Core::watch_lateness() {
+  const auto late = lateness_.fired(clock_.now);
+  if (!late) return;
+  log(Log::Level::Warning, "event=processor_limit limit=cpu late_ms=", late->mean,
+      " most_ms=", late->most);
+}
+
 bool Core::healthy(Time now) const {
   // Short gaps, such as a take-over, aren't worth being taken off the balancer's list for.
   if (now - last_path_ < worker_lease() / 2) return true;
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -21,6 +21,7 @@
 #include "coordination/rate_limiter.hpp"
 #include "coordination/siblings.hpp"
 #include "coordination/team_limits.hpp"
+#include "coordination/timer_lateness.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
 #include "protocol/settings.hpp"
@@ -58,6 +59,7 @@
 
   // core.cpp
   void tick();
+  void watch_lateness();
   void answer(const Origin& origin, int status, std::string body, int retry_after_s = 0,
               Time valid_until = kNever);
   void refuse(const Origin& origin, const char* why);
@@ -451,6 +453,7 @@
   Tables tables_;
   TeamLimits limits_;
   Time next_share_look_ = 0;
+  TimerLateness lateness_;  // of our ticks
 
   // calls in flight
   std::uint64_t next_call_ = 1;
--- /dev/null
+++ b/src/coordination/timer_lateness.hpp
@@ -0,0 +1,62 @@
+// Tells a process that gets too little processor time by how late its timer fires.
+#pragma once
+
+#include <algorithm>
+#include <optional>
+
+#include "protocol/messages.hpp"
+
+namespace sailreel {
+
+/// Watches a timer that is armed again whenever it has fired. A process that was busy or stood
+/// still for a moment is late once; one whose processor can't keep up is late most of the time.
+class TimerLateness {
+ public:
+  /// What is said of a window in which most firings were late.
+  struct Report {
+    Time mean = 0, most = 0;
+  };
+
+  /// A firing counts as late from `limit` after it was due; windows are at least `window` long.
+  TimerLateness(Time limit, Time window) : limit_(limit), window_(window) {}
+
+  void armed(Time due) { due_ = due; }
+
+  /// The timer has fired. Returns a report if a window ends with this and was mostly late.
+  std::optional<Report> fired(Time now) {
+    if (!due_) return {};
+    count(std::max<Time>(0, now - *due_));
+    due_.reset();
+    if (window_end_ == 0) window_end_ = now + window_;
+    if (now < window_end_) return {};
+    return end_window(now);
+  }
+
+ private:
+  void count(Time late) {
+    ++firings_;
+    if (late < limit_) return;
+    ++late_firings_;
+    sum_ += late;
+    most_ = std::max(most_, late);
+  }
+
+  std::optional<Report> end_window(Time now) {
+    // A single firing is one stand-still, however long it was.
+    std::optional<Report> report;
+    if (late_firings_ > 1 && late_firings_ * 2 > firings_)
+      report = Report{sum_ / static_cast<Time>(late_firings_), most_};
+    firings_ = late_firings_ = 0;
+    sum_ = most_ = 0;
+    window_end_ = now + window_;
+    return report;
+  }
+
+  Time limit_, window_;
+  std::optional<Time> due_;
+  Time window_end_ = 0;
+  std::size_t firings_ = 0, late_firings_ = 0;
+  Time sum_ = 0, most_ = 0;  // of the late ones
+};
+
+}  // namespace sailreel
--- a/tests/slow_processor_test.cpp
+++ b/tests/slow_processor_test.cpp
@@ -3,6 +3,7 @@
 // nothing is left waiting or unanswered afterwards.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 
 #include "support/scenarios.hpp"
@@ -12,7 +13,8 @@
 
 constexpr std::uint64_t kSeeds = 4;
 constexpr std::size_t kJobs = 16;
-/// Inputs wait for at least so long at some moment: the processor is slow indeed.
+/// Inputs wait for at least so long at some moment, as the fleet comes up and again in each scene
+/// that does anything: the processor is slow indeed.
 constexpr Time kLeastWait = 100;
 /// When the fleet is up and full.
 constexpr Time kBegin = 55'000;
@@ -36,6 +38,12 @@
   }
 }
 
+/// All controllers are several times slower for a while.
+void slow_all(World& world) {
+  constexpr double kFactor = 6;
+  for (std::size_t node = 0; node < 3; ++node) world.slow_down(node, kFactor, 30'000);
+}
+
 std::uint64_t elections(const World& world) {
   return world.leader() < 0 ? 0 : world.core(leader_of(world))->epoch();
 }
@@ -49,19 +57,26 @@
     world.poll_closely(500'000);
     submit_burst(world, seed);
     world.run_until(kBegin);
-    GetParam().play(world, seed);
+    const Time at_begin = world.longest_input_wait();
+    world.forget_input_waits();
+    if (GetParam().play) GetParam().play(world, seed);
     world.run_until(world.now() + 60'000);
-    std::printf("an input waited for %lld ms at most\n",
+    std::printf("an input waited for %lld ms at most as the fleet came up, then for %lld\n",
+                static_cast<long long>(at_begin),
                 static_cast<long long>(world.longest_input_wait()));
-    EXPECT_GT(world.longest_input_wait(), kLeastWait);
+    EXPECT_GT(at_begin, kLeastWait);
+    if (GetParam().play) {
+      EXPECT_GT(world.longest_input_wait(), kLeastWait);
+    }
     expect_all_served(world, kJobs, seed);
   }
 }
 
 const Scenario kScenarios[] = {
-    {"ColdStartAndFirstBurst", [](World&, std::uint64_t) {}},
+    {"ColdStartAndFirstBurst", {}},
     {"RestartsInTheMiddleOfElections",
      [](World& w, std::uint64_t seed) {
+       slow_all(w);
        for (int round = 0; round < 6; ++round) {
          w.kill(leader_of(w), 100 + 50 * static_cast<Time>(seed));
          w.run_until(w.now() + 900 + 100 * static_cast<Time>(round));
@@ -71,10 +86,14 @@
      }},
     {"AllControllersStartAtOnce",
      [](World& w, std::uint64_t) {
+       slow_all(w);
        for (std::size_t node = 0; node < 3; ++node) w.kill(node, 400);
      }},
     {"AllWorkersComeBackAfterAZoneCut",
-     [](World& w, std::uint64_t seed) { w.cut_zone("za", 16'000, seed % 2 == 0); }},
+     [](World& w, std::uint64_t seed) {
+       slow_all(w);
+       w.cut_zone("za", 16'000, seed % 2 == 0);
+     }},
     {"UsersRepeatThemselvesWhileTheStateServiceIsOut",
      [](World& w, std::uint64_t) {
        w.state_outage(25'000);
@@ -122,5 +141,84 @@
   }
 }
 
+/// Keeps what its controllers warn of.
+class WarningController : public PresentController {
+ public:
+  WarningController(const Settings& settings, std::uint64_t seed,
+                    std::vector<std::string>& warnings)
+      : PresentController(settings, Options{}, seed), warnings_(warnings) {}
+
+  std::vector<Action> step(Clock clock, Input input) override {
+    std::vector<Action> actions = PresentController::step(clock, std::move(input));
+    for (const Action& action : actions)
+      if (const auto* log = std::get_if<Log>(&action); log && log->level == Log::Level::Warning)
+        warnings_.push_back(log->text);
+    return actions;
+  }
+
+ private:
+  std::vector<std::string>& warnings_;
+};
+
+std::size_t processor_warnings(double slowness) {
+  std::vector<std::string> warnings;
+  DayPlan plan = slow_day(1);
+  plan.controllers = [&](std::size_t, const Settings& settings, std::uint64_t seed) {
+    return std::make_unique<WarningController>(settings, seed, warnings);
+  };
+  World world(plan);
+  for (std::size_t node = 0; node < 3; ++node) world.slow_down(node, slowness, kBegin);
+  submit_burst(world, 1);
+  world.run_until(kBegin);
+  return static_cast<std::size_t>(
+      std::count_if(warnings.begin(), warnings.end(), [](const std::string& text) {
+        return text.find("event=processor_limit limit=cpu late_ms=") != std::string::npos;
+      }));
+}
+
+// A processor that can't carry the deployment is warned of, at most once a lease for each of the
+// three controllers; one that can isn't, nor one that stands still.
+TEST(ProcessorLimit, IsWarnedOf) {
+  const std::size_t slow = processor_warnings(15);
+  EXPECT_GT(slow, 2U);
+  EXPECT_LE(slow, 3U * 5U);
+  EXPECT_EQ(processor_warnings(0.1), 0U);
+}
+
+constexpr Time kLimit = 100, kWindow = 10'000;
+
+std::vector<TimerLateness::Report> reports_of(const std::vector<Time>& late) {
+  TimerLateness lateness(kLimit, kWindow);
+  std::vector<TimerLateness::Report> reports;
+  Time now = 1'000;
+  for (const Time by : late) {
+    lateness.armed(now + 50);
+    now += 50 + by;
+    if (const auto report = lateness.fired(now)) reports.push_back(*report);
+  }
+  return reports;
+}
+
+TEST(TimerLateness, IsReportedOnceAWindowIfMostFiringsAreLate) {
+  std::vector<Time> late(300, 0);
+  EXPECT_TRUE(reports_of(late).empty());
+  late[50] = 30'000;
+  EXPECT_TRUE(reports_of(late).empty()) << "it stood still once";
+  for (std::size_t i = 0; i < late.size(); ++i) late[i] = i % 3 == 0 ? 400 : 99;
+  EXPECT_TRUE(reports_of(late).empty()) << "two of three are in time";
+  for (std::size_t i = 0; i < late.size(); ++i) late[i] = i % 3 == 0 ? 0 : i % 3 == 1 ? 250 : 350;
+  const auto reports = reports_of(late);
+  ASSERT_GT(reports.size(), 2U);
+  for (const TimerLateness::Report& report : reports) {
+    EXPECT_NEAR(static_cast<double>(report.mean), 300, 2);
+    EXPECT_EQ(report.most, 350);
+  }
+}
+
+TEST(TimerLateness, ATimerThatWasNotArmedIsNotLate) {
+  TimerLateness lateness(kLimit, kWindow);
+  for (Time now = 0; now < 100'000; now += 1'000) EXPECT_FALSE(lateness.fired(now));
+}
+
 }  // namespace
 }  // namespace sailreel::sim
--- a/tests/support/work_meter.hpp
+++ b/tests/support/work_meter.hpp
@@ -55,9 +55,11 @@
   [[nodiscard]] const StepWork& leader(InputKind kind) const { return of_kind(leader_, kind); }
   [[nodiscard]] const StepWork& follower(InputKind kind) const { return of_kind(follower_, kind); }
   /// Of all inputs.
-  [[nodiscard]] StepWork leader_total() const {
-    StepWork total;
-    for (const StepWork& work : leader_) total.add(work);
+  [[nodiscard]] StepWork leader_total() const { return sum(leader_); }
+  /// Of all inputs of all controllers.
+  [[nodiscard]] StepWork total() const {
+    StepWork total = sum(leader_);
+    total.add(sum(follower_));
     return total;
   }
   void reset() { *this = {}; }
@@ -67,6 +69,11 @@
   static const StepWork& of_kind(const ByKind& work, InputKind kind) {
     return work[static_cast<std::size_t>(kind)];
   }
+  static StepWork sum(const ByKind& by_kind) {
+    StepWork total;
+    for (const StepWork& work : by_kind) total.add(work);
+    return total;
+  }
   StepWork& by_kind(bool leading, InputKind kind) {
     return (leading ? leader_ : follower_)[static_cast<std::size_t>(kind)];
   }
--- a/tests/work_cost_test.cpp
+++ b/tests/work_cost_test.cpp
@@ -35,8 +35,13 @@
   }
   /// Goes on for a while in which nothing is submitted, starts or ends.
   void serve() {
+    play([](World&) {});
+  }
+  /// Goes on for a while after something has happened.
+  void play(const std::function<void(World&)>& happens) {
     meter_->reset();
-    world_.run_until(kSettled + kSpan);
+    happens(world_);
+    world_.run_until(world_.now() + kSpan);
   }
   [[nodiscard]] const WorkMeter& meter() const { return *meter_; }
   [[nodiscard]] std::uint64_t starts() const { return starts_; }
@@ -108,6 +113,26 @@
   expect_at_most("start", day.meter().leader_total(), day.starts(), {190, 13});  // 151.6, 10.1
 }
 
+// All controllers together, reports and polls included, for each second of a span in which nothing
+// happens, in which a leader ends, and in which the state service is out while users submit.
+TEST(WorkCost, OfASecondInTrouble) {
+  constexpr auto kSeconds = static_cast<std::uint64_t>(kSpan / 1'000);
+  MeteredDay quiet_day;
+  quiet_day.serve();
+  expect_at_most("quiet second", quiet_day.meter().total(), kSeconds, {710, 0.05});  // 568, 0
+  MeteredDay take_over;
+  take_over.play([](World& world) { world.kill(leader_of(world), 2'000); });
+  expect_at_most("second of a take-over", take_over.meter().total(), kSeconds,
+                 {800, 6});  // 640, 4.0
+  MeteredDay outage;
+  outage.play([](World& world) {
+    world.state_outage(kSpan);
+    for (std::size_t n = kJobs; n < 2 * kJobs; ++n) world.submit(service(job_id(n), 1));
+  });
+  expect_at_most("second of an outage", outage.meter().total(), kSeconds,
+                 {1'300, 0.05});  // 1,009, 0
+}
+
 TEST(WorkCost, OfReadingAReport) {
   constexpr int kTasks = 4;
   std::string text =
