--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -206,17 +206,28 @@
   void task_failed(Job& job, Machine& m);
   void check_for_fault(Machine& m);
   std::vector<Command> commands_for(Machine& m, std::uint64_t report_seq);
-  void machine_tick();
-  [[nodiscard]] Time silent_after() const;
-  [[nodiscard]] static bool few_silent(std::size_t silent, std::size_t of);
-  void detect_dead_machines();
-  [[nodiscard]] bool zone_unreachable(const std::string& zone) const;
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
   void note_fetch_begun(Machine& m, const JobSpec& spec);
   void note_fetch_ended(Machine& m, const std::string& image);
   [[nodiscard]] std::size_t fetch_limit() const;
 
+  // failure_detection.cpp
+  /// Of the machines that have reported: how many are up, silent, and heard lately enough for their
+  /// leases to last.
+  struct FleetContact {
+    std::size_t up = 0, silent = 0, heard = 0;
+  };
+  void machine_tick();
+  [[nodiscard]] FleetContact fleet_contact() const;
+  [[nodiscard]] bool workers_lost(const FleetContact& contact) const;
+  void watch_machine(Machine& m, bool few_are_silent);
+  [[nodiscard]] Time silent_after() const;
+  [[nodiscard]] Time unheard_after() const;
+  [[nodiscard]] static bool few_silent(std::size_t silent, std::size_t of);
+  void detect_dead_machines();
+  [[nodiscard]] bool zone_unreachable(const std::string& zone) const;
+
   // keepalive.cpp
   [[nodiscard]] Time keep_alive_span() const;
   [[nodiscard]] Time expiry(const Machine& m) const;
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -13,8 +13,6 @@
 /// wrong between us and that machine.
 constexpr std::uint32_t kMaxSends = 3;
 constexpr std::size_t kFaultyJobs = 2;
-/// No more than one in so many machines of a zone is taken for dead at a time.
-constexpr std::size_t kDeadShare = 3;
 }  // namespace
 
 void Core::worker_report(const WorkerReport& in) {
@@ -482,119 +480,6 @@
 // learnt.
 std::size_t Core::fetch_limit() const { return fetch_votes_ > 0 ? 1 : fetch_votes_ < 0 ? 8 : 2; }
 
-Time Core::silent_after() const { return report_interval() * 5 / 2 + 500; }
-
-// Few enough for the machines to be at fault, and not the network.
-bool Core::few_silent(std::size_t silent, std::size_t of) {
-  return silent <= std::max<std::size_t>(2, of / 10) && (silent < of || of == 1);
-}
-
-void Core::machine_tick() {
-  const Time now = clock_.now;
-  const Time unheard_after = std::max(silent_after(), worker_lease() * 45 / 100);
-  std::size_t silent = 0, up = 0, fresh = 0;
-  for (const auto& [name, m] : tables_.machines) {
-    if (!m->reported) continue;
-    ++up;
-    silent += m->silent ? 1 : 0;
-    fresh += now - m->last_report <= unheard_after ? 1 : 0;
-  }
-  // Once, a leader that had lost all workers and siblings, but not the state service, kept its
-  // lease while every task died (recorded incident on tbilisi-listings). Another may still reach
-  // them. Where no sibling hears us either, a few workers that still come through change nothing of
-  // that.
-  const bool alone = std::none_of(siblings_.begin(), siblings_.end(), [&](const SiblingView& v) {
-    return v.hears_leader && now - v.last_heartbeat <= unheard_after;
-  });
-  if (in_command(now) && !settings_.siblings.empty() && up > 1 &&
-      now - led_since_ > unheard_after && (fresh == 0 || (alone && fresh * 4 <= up)))
-    return abdicate("no worker is heard");
-  const bool few = few_silent(silent, up);
-  for (auto& [name, ptr] : tables_.machines) {
-    Machine& m = *ptr;
-    if (!m.reported) {
-      if (m.recorded && m.listed_running && now >= expiry(m))
-        release(m, "not heard since take-over");
-      continue;
-    }
-    if (!m.error_jobs.empty()) check_for_fault(m);
-    if (!m.silent && now - m.last_report > silent_after()) {
-      m.silent = true;
-      m.silent_since = now;
-      drop_unsent(m);
-      log(Log::Level::Info, "event=machine_silent machine=", m.name);
-    }
-    if (!m.silent) continue;
-    if (now >= expiry(m)) {
-      session_lost(m, "lease expired");
-      // When many are silent, the network is rather at fault: they may come back, warm, and are
-      // waited for a little.
-      if (few || now >= expiry(m) + 2 * worker_lease()) release(m, "lease expired");
-    }
-  }
-  // Before the silent ones are asked, as it asks one of each zone that does answer: with few
-  // sockets, those that don't left none for it.
-  if (in_command(now) && silent > 0) detect_dead_machines();
-}
-
-// A machine that answers neither way is most likely dead, if others of its zone do answer directly.
-// Returning it proves that its tasks are gone, sooner than its lease would. Where none of the zone
-// is reached, the fault is rather between us and the zone, and leases are waited for: when two
-// zones were apart, a rule by the share of silent machines alone returned healthy ones.
-void Core::detect_dead_machines() {
-  // What was up when the former leader ended, and hasn't been heard for as long, is silent too.
-  const bool awaited = rebuilding_ && clock_.now - led_since_ > silent_after();
-  const auto silent = [&](const Machine& m) {
-    return m.reported ? m.silent : awaited && m.recorded && !m.lease_passed;
-  };
-  struct Zone {
-    std::size_t up = 0, silent = 0;
-    Machine* witness = nullptr;
-  };
-  std::map<std::string, Zone> zones;
-  std::size_t all_up = 0, all_silent = 0;
-  for (auto& [name, m] : tables_.machines) {
-    if (m->releasing || m->zone.empty() || !(m->reported || silent(*m))) continue;
-    Zone& zone = zones[m->zone];
-    ++zone.up;
-    ++all_up;
-    if (silent(*m)) {
-      ++zone.silent;
-      ++all_silent;
-    } else if (!m->address.empty() &&
-               (zone.witness == nullptr || m->last_own_report > zone.witness->last_own_report)) {
-      zone.witness = m.get();
-    }
-  }
-  for (const auto& [name, zone] : zones)
-    if (zone.witness == nullptr && zone.up > 1) zone_unreachable_at_[name] = clock_.now;
-  const bool few = few_silent(all_silent, all_up);
-  for (auto& [name, m] : tables_.machines) {
-    if (m->releasing || m->zone.empty() || !silent(*m) || m->probe_failures < 2) continue;
-    const char* why = m->reported ? "silent" : "silent since take-over";
-    Zone& zone = zones[m->zone];
-    const Time reached = zone_reached_[m->zone];
-    if (zone.witness == nullptr) {
-      // All of a zone at once is rather the zone; the only one of its zone is judged by the rest.
-      if (few && zone.up == 1) release(*m, why);
-    } else if (reached > (m->reported ? m->silent_since : led_since_)) {
-      // An inquiry that left before the zone was reached says nothing: it may have met the end of a
-      // cut that others were out of a moment sooner.
-      const bool few_of_zone = zone.silent == 1 || zone.silent * kDeadShare <= zone.up;
-      if (reached <= m->probe_failed && few_of_zone) release(*m, why);
-    } else {
-      inquire_if_due(*zone.witness);
-    }
-  }
-}
-
-// Of the zone's machines none was heard a short while ago. What is rented there can't be reached
-// either: a cut zone, having lost its machines, once got all the new ones.
-bool Core::zone_unreachable(const std::string& zone) const {
-  const auto it = zone_unreachable_at_.find(zone);
-  return it != zone_unreachable_at_.end() && clock_.now - it->second < 2 * worker_lease();
-}
-
 void Core::machine_gone(Machine& m, const char* why) {
   log(Log::Level::Info, "event=machine_gone machine=", m.name, " cause=\"", why, "\"");
   session_lost(m, why);
