Leader's leases double while leaders change too often: slow controllers find one that stays

The scenes had no leader that ends while all are slow. Change: ElectionHistory counts the epochs that began within a worker's lease; from the third on the length that is asked for doubles, up to half a worker's lease. Deadline and renewals are reckoned by the length that was granted. A lease asked for after a quiet span is short again.

--- a/src/coordination/core.cpp
+++ b/src/coordination/core.cpp
@@ -26,6 +26,7 @@
       write_limiter_(settings_.store.write_rps * options_.write_share,
                      settings_.store.write_rps * options_.write_share),
       cloud_limiter_(settings_.market.rps * 0.8, settings_.market.rps * 1.2),
+      election_history_(worker_lease()),
       incarnation_((std::uint64_t{random_()} << 32) | random_() | 1),
       siblings_(settings_.siblings.size(), incarnation_, worker_lease(), keep_alive_span()),
       shards_(value_limit(kValueFill)) {
--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "coordination/actions.hpp"
+#include "coordination/election_history.hpp"
 #include "coordination/gang.hpp"
 #include "coordination/machine_ranking.hpp"
 #include "coordination/rate_limiter.hpp"
@@ -82,6 +83,9 @@
   void learn_leader(const StateItem* item);
   void campaign();
   void claim(std::uint64_t lease, Time granted);
+  [[nodiscard]] Time shortest_lease() const {
+    return ms(settings_.workers.lease_s * options_.leader_lease_ratio);
+  }
   void load(const std::string& from, std::uint64_t revision);
   void renew();
   void step_down(const char* why);
@@ -481,6 +485,8 @@
   std::uint64_t epoch_version_ = 0;
   std::uint64_t nonce_ = 0;
   std::uint64_t lease_ = 0;
+  Time lease_length_ = 0;  // of the lease that we have, or ask for
+  ElectionHistory election_history_;
   Time lease_deadline_ = 0, led_since_ = 0;
   Time next_renew_ = 0;
   bool watching_ = false;
--- a/src/coordination/election.cpp
+++ b/src/coordination/election.cpp
@@ -8,6 +8,8 @@
 constexpr Time kRenewalsPerLease = 4;
 constexpr Time kWatchMs = 10'000;
 constexpr double kClaimWrites = 2;
+/// A leader's lease is at most this share of a worker's: so long may nobody lead after its end.
+constexpr Time kLongestLeaseShare = 2;
 }  // namespace
 
 void Core::election_tick() {
@@ -85,6 +87,7 @@
   if (const auto l = decode_leader(item->value)) {
     leader_name_ = l->node;
     epoch_ = std::max(epoch_, l->epoch);
+    election_history_.note(epoch_, clock_.now);
   }
 }
 
@@ -100,8 +103,11 @@
   lookups_served_.clear();
   StateCall grant;
   grant.kind = StateCall::Kind::Grant;
-  grant.ttl_ms = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
   const Time granted = clock_.now;
+  election_history_.note(epoch_, granted);
+  lease_length_ = election_history_.lease_length(shortest_lease(),
+                                                 worker_lease() / kLongestLeaseShare, granted);
+  grant.ttl_ms = lease_length_;
   call_state(
       grant,
       [this, term, granted](const StateReply& r) {
@@ -153,13 +159,12 @@
         // The others' claims fail, but count against the limit all the same.
         write_limiter_.spend(kClaimWrites * static_cast<double>(siblings_.size()), clock_.now);
         lease_ = lease;
-        const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
-        lease_deadline_ = granted + ttl - ttl / 500 - 20;
-        next_renew_ = granted + ttl / kRenewalsPerLease;
+        lease_deadline_ = granted + lease_length_ - lease_length_ / 500 - 20;
+        next_renew_ = granted + lease_length_ / kRenewalsPerLease;
         role_ = Role::Loading;
         led_since_ = clock_.now;
         leader_name_ = settings_.name;
-        log(Log::Level::Info, "event=elected");
+        log(Log::Level::Info, "event=elected lease_ms=", lease_length_);
         snapshot_ = Snapshot{};
         snapshot_loaded_ = false;
         loading_ = Snapshot{};
@@ -195,7 +200,7 @@
 void Core::renew() {
   const std::uint64_t term = term_;
   const Time sent = clock_.now;
-  const Time ttl = ms(settings_.workers.lease_s * options_.leader_lease_ratio);
+  const Time ttl = lease_length_;
   next_renew_ = sent + ttl / kRenewalsPerLease;
   StateCall call;
   call.kind = StateCall::Kind::Renew;
@@ -303,6 +308,7 @@
     step_down("a sibling leads under a higher epoch");
   else if (role_ == Role::Follower)
     epoch_ = std::max(epoch_, heartbeat.epoch);
+  election_history_.note(epoch_, clock_.now);
 }
 
 void Core::send_heartbeats() {
--- a/tests/slow_processor_test.cpp
+++ b/tests/slow_processor_test.cpp
@@ -141,6 +141,32 @@
   }
 }
 
+// Controllers so slow that leases of the usual length run out before they are renewed. Once the
+// leader has ended, each next one was deposed in its turn, for as long as the processors were slow,
+// and users learnt nothing any more.
+TEST(SlowControllers, FindALeaderThatStays) {
+  constexpr double kFactor = 6;
+  constexpr Time kSlowFor = 130'000;
+  constexpr std::uint64_t kMostElections = 8;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    World world(slow_day(seed));
+    submit_burst(world, seed);
+    world.run_until(kBegin);
+    for (std::size_t node = 0; node < 3; ++node) world.slow_down(node, kFactor, kSlowFor);
+    world.kill(leader_of(world), 1'000);
+    world.run_until(world.now() + 60'000);
+    const std::uint64_t before = elections(world);
+    world.run_until(world.now() + 60'000);
+    std::printf("epoch %llu a minute later, %llu after two\n",
+                static_cast<unsigned long long>(before),
+                static_cast<unsigned long long>(elections(world)));
+    EXPECT_GT(before, 0U);
+    EXPECT_LE(before, kMostElections);
+    EXPECT_EQ(elections(world), before) << "seed " << seed;
+    expect_all_served(world, kJobs, seed);
+  }
+}
+
 /// Keeps what its controllers warn of.
 class WarningController : public PresentController {
  public:
