Counting allocations: the form of operator new that doesn't throw is replaced too

A fault of the tests' counter, not of the sources. Change: both forms, and their deletes, are the test program's. Nothing asserted is changed.

--- a/tests/support/count_allocations.cpp
+++ b/tests/support/count_allocations.cpp
@@ -27,5 +27,8 @@
   if (void* memory = std::malloc(size)) return memory;
   throw std::bad_alloc();
 }
+// The library's own form of this, and the sanitizer's, wouldn't fit the `delete` below.
+void* operator new(std::size_t size, const std::nothrow_t&) noexcept { return std::malloc(size); }
 void operator delete(void* memory) noexcept { std::free(memory); }
 void operator delete(void* memory, std::size_t) noexcept { std::free(memory); }
+void operator delete(void* memory, const std::nothrow_t&) noexcept { std::free(memory); }
