--- a/sim/stand_ins.hpp
+++ b/sim/stand_ins.hpp
@@ -223,6 +223,13 @@
   Time rented = 0, boots = 0;
 };
 
+/// What the cloud calls the machine that it rents as the `number`th.
+inline std::string machine_name(std::size_t number) {
+  char name[32];
+  std::snprintf(name, sizeof name, "m-%06zu", number);
+  return name;
+}
+
 class Cloud {
  public:
   explicit Cloud(std::uint64_t seed) : random_(seed) {}
@@ -320,10 +327,8 @@
            std::to_string(1 + number % kHostsPerNet) + kWorkerPort;
   }
   void rent(const CloudCall& call, Time now, CloudReply& r) {
-    char name[32];
-    std::snprintf(name, sizeof name, "m-%06zu", next_++);
     CloudMachine m;
-    m.name = name;
+    m.name = machine_name(next_++);
     m.address = address_of(next_);
     m.type = call.rental.type;
     m.zone = call.rental.zone;
@@ -332,8 +337,8 @@
     m.broken = one_in_never_up > 0 && random_(one_in_never_up) == 0;
     const double boot = 1000 * types.front().boot_s * (0.6 + random_(90) / 100.0);
     m.boots = random_(12) == 0 ? now + 1000 : now + static_cast<Time>(boot);
-    machines[name] = m;
-    r.names.emplace_back(name);
+    machines[m.name] = m;
+    r.names.emplace_back(m.name);
     on_rented(m);
   }
   pcg32 random_;
--- a/sim/troubles.cpp
+++ b/sim/troubles.cpp
@@ -60,6 +60,13 @@
   zone_cuts_[zone] = {now_ + for_ms, hold};
 }
 
+void World::cut_machines(double share, Time for_ms, bool hold) {
+  for (const std::string& machine : machines_up()) {
+    if (random_(1'000) >= share * 1'000) continue;
+    for (const Node& node : nodes_) cut(node.name, machine, for_ms, hold);
+  }
+}
+
 std::string World::zone_of(const std::string& host) const {
   for (std::size_t i = 0; i < nodes_.size(); ++i)
     if (nodes_[i].name == host) return settings_[i].zone;
--- a/sim/workers.cpp
+++ b/sim/workers.cpp
@@ -133,11 +133,10 @@
     ++reports_;
     if (auto decoded = decode_report(raw)) feed(i, WorkerReport{origin, *decoded, raw});
   };
-  if (now_ >= w.mute_until)
-    carry(name, nodes_[i].name, [this, i, deliver, call, finish] {
-      if (!nodes_[i].controller) return finish(0, "");
-      deliver({Origin::Kind::Local, call, 0});
-    });
+  deliver_report(w, [this, i, deliver, call, finish] {
+    if (!nodes_[i].controller) return finish(0, "");
+    deliver({Origin::Kind::Local, call, 0});
+  });
   if (random_(1000) < plan_.late_copies * 1000)
     at(now_ + 1000 + random_(40'000),
        [this, name, i, deliver] { carry(name, nodes_[i].name, [deliver] { deliver({}); }); });
@@ -153,10 +152,21 @@
   });
 }
 
+// A cut holds what is sent over a connection that is open. One that is only attempted meanwhile is
+// given up, and doesn't complete later: so it is the report of before the cut that arrives after
+// it, and none of those that the worker sends to the other controllers in the meantime.
+void World::deliver_report(Worker& w, std::function<void()> arrive) {
+  const std::string& node = nodes_[w.node].name;
+  const bool cut_off = now_ < cut_between(w.machine.name, node).first;
+  if (now_ < w.mute_until || (cut_off && !w.connected)) return;
+  carry(w.machine.name, node, std::move(arrive));
+}
+
 void World::take_answer(Worker& w, std::uint64_t flight, Time sent, std::uint64_t session,
                         int status, const std::string& body) {
   if (!w.in_flight || w.flight != flight) return;
   w.in_flight = false;
+  w.connected = status == 200;
   if (now_ < w.hang_until) return;
   if (status == 200) {
     const auto batch = decode_commands(body);
--- a/sim/world.cpp
+++ b/sim/world.cpp
@@ -156,8 +156,10 @@
 void World::carry(const std::string& from, const std::string& to, std::function<void()> arrive) {
   const auto [until, hold] = cut_between(from, to);
   if (now_ < until) {
-    if (hold) at(until + delay(), std::move(arrive));
-    return;
+    if (!hold) return;
+    Time& last = held_until_[{from, to}];
+    last = std::max(last, until + delay());
+    return at(last, std::move(arrive));
   }
   // Over sockets, the network's own delays come with each message.
   if (plan_.over_sockets) return at(now_, std::move(arrive));
--- a/sim/world.hpp
+++ b/sim/world.hpp
@@ -125,6 +125,8 @@
   void cut(const std::string& a, const std::string& b, Time for_ms, bool hold);
   /// The zone's controllers and machines lose everything outside of it.
   void cut_zone(const std::string& zone, Time for_ms, bool hold);
+  /// A share of the machines loses all controllers.
+  void cut_machines(double share, Time for_ms, bool hold);
   /// The controller stands still; what reaches it meanwhile waits.
   void freeze(std::size_t node, Time for_ms);
   /// The controller takes so many times as long for each step.
@@ -260,6 +262,7 @@
     Time began = 0, last_ok_sent = 0, hang_until = 0, deaf_until = 0, mute_until = 0, notice_at = 0;
     Time next_report = 0, last_report = 0;
     bool in_flight = false, changed = false;
+    bool connected = false;  // to `node`, since that answered the report before
     std::uint64_t flight = 0;
     double drift = 1.0;
     std::map<std::pair<std::string, std::uint32_t>, std::vector<WorkTask>> tasks;
@@ -281,7 +284,8 @@
     bool operator<(const Event& o) const { return std::pair(at, order) > std::pair(o.at, o.order); }
   };
 
-  /// Carries a message between two hosts: delayed, lost, or held by a cut.
+  /// Carries a message between two hosts: delayed, lost, or held by a cut. What a cut holds arrives
+  /// after it, in the order of sending, also when its sender has given up.
   void carry(const std::string& from, const std::string& to, std::function<void()> arrive);
   [[nodiscard]] std::string zone_of(const std::string& host) const;
   [[nodiscard]] std::pair<Time, bool> cut_between(const std::string& a, const std::string& b) const;
@@ -327,6 +331,7 @@
   [[nodiscard]] std::uint32_t gang_tasks_present(const User& user, std::uint64_t attempt,
                                                  bool saved_only) const;
   void send_report(Worker& w);
+  void deliver_report(Worker& w, std::function<void()> arrive);
   Report make_report(Worker& w);
   void obey(Worker& w, const Command& c);
   void stop_work(Worker& w, WorkTask& t, const Command& c);
@@ -398,6 +403,8 @@
   // Until when, and whether what is sent meanwhile arrives afterwards.
   std::map<std::pair<std::string, std::string>, std::pair<Time, bool>> cuts_;
   std::map<std::string, std::pair<Time, bool>> zone_cuts_;
+  /// When the last message that a cut holds arrives, by sender and receiver.
+  std::map<std::pair<std::string, std::string>, Time> held_until_;
   /// A trouble that meets a share of something until its end.
   struct Share {
     double of = 0;
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -216,7 +216,8 @@
   const auto name = "node-" + std::to_string(old_leader);
   for (int i = 0; i < 3; ++i)
     if (i != old_leader) world.cut(name, "node-" + std::to_string(i), 60'000, true);
-  for (const auto& m : world.machines_up()) world.cut(name, m, 60'000, true);
+  // Also from machines that come up later: one that the leader heard made it stay.
+  for (std::size_t m = 1; m < 30; ++m) world.cut(name, machine_name(m), 60'000, true);
   int starts = 0;
   count_starts(world, starts);
   world.run_until(95'000);
