What is proved to be over stays over: reports of an ended session are refused, one zone means one

Cause (rule wrong_place, incident held-reports): the network held a machine's last report back until after the leader had reckoned its lease over and had placed its tasks anew. It was of the same session with a higher number, so it was taken for present: tasks that waited were found "again" on the machine, and an array bound to one zone was known in two. Either counted as its zone then, and a task started in the wrong one. The class is an action on stale knowledge: the proof that a session is over was used to place its tasks, and not remembered against what had been said before.

Change, first line: a machine's SessionFence keeps which sessions are proved to be over. Their reports get 503, renew nothing (last_report, answered, silent, expiry) and bring nothing back. A later session is taken at once; so is the same one if it answers an inquiry that left after the proof, so a machine that was refused by mistake is back within one question. A machine that wasn't heard before a rebuild ended is fenced likewise, and tasks of a machine that nobody knows are not taken.

Second line: a job bound to one zone and known in two gets no place until one is left; strays count for zones, keep their task from being started elsewhere, hold up the last record of their job and the start of a gang; places that were planned are checked again as the start leaves.

Found on the way: a machine heard by inquiry alone, after its lease was over by our reckoning, was returned at its first silence; and one that came back took no work until something else changed.

--- a/src/coordination/core.hpp
+++ b/src/coordination/core.hpp
@@ -189,8 +189,18 @@
   // reports.cpp
   void worker_report(const WorkerReport& input);
   void worker_answer(const WorkerAnswer& input);
-  /// Takes in a report; false if it is a late copy.
-  bool take_report(const Report& report, bool direct);
+  /// What became of a report.
+  enum class ReportOutcome : std::uint8_t {
+    Taken,
+    Late,           // a newer one has come before it
+    SessionOver,    // it is of a session that is proved to be over
+    UnknownMachine  // it shows tasks on a machine that can't have any
+  };
+  /// Takes in a report, or the answer to a direct command that left at `asked`.
+  ReportOutcome take_report(const Report& report, std::optional<Time> asked);
+  [[nodiscard]] static bool is_late(const Machine& m, const Report& r);
+  void refuse_report(const WorkerReport& in, Machine& m);
+  [[nodiscard]] bool unknown_with_tasks(const Report& report);
   void first_report(Machine& m, const Report& r);
   void next_session(Machine& m);
   void note_address(Machine& m, const std::string& address);
@@ -210,6 +220,7 @@
   void task_failed(Job& job, Machine& m);
   void check_for_fault(Machine& m);
   std::vector<Command> commands_for(Machine& m, std::uint64_t report_seq);
+  static std::string zones_known(const Job& job);
   void machine_gone(Machine& m, const char* why);
   void note_finished(Job& job, std::uint32_t index, const Machine& m);
   void note_fetch_begun(Machine& m, const JobSpec& spec);
--- a/src/coordination/gang_scheduling.cpp
+++ b/src/coordination/gang_scheduling.cpp
@@ -109,9 +109,10 @@
 
 // Whether all tasks that are to be placed may be tried again.
 bool Core::gang_due(const Job& job) {
-  const bool due = std::none_of(job.tasks.begin(), job.tasks.end(), [this](const Task& task) {
+  const bool later = std::any_of(job.tasks.begin(), job.tasks.end(), [this](const Task& task) {
     return task.state == TaskState::Queued && task.not_before > clock_.now;
   });
+  const bool due = !later && job.strays.empty();
   placement_dirty_ = placement_dirty_ || !due;
   return due;
 }
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -231,9 +231,10 @@
     if (index == job.next_queued) ++job.next_queued;
     return false;
   }
-  // What is not due yet is looked at again by a later pass.
-  if (task.not_before > clock_.now) placement_dirty_ = true;
-  return task.not_before <= clock_.now;
+  // What is not due yet is looked at again by a later pass. So is what may still run elsewhere.
+  const bool due = task.not_before <= clock_.now && !job.has_stray(index);
+  if (!due) placement_dirty_ = true;
+  return due;
 }
 
 // Places what it can of the job's tasks. Returns how many found no room; empty if the team is at
--- a/src/coordination/preemption.cpp
+++ b/src/coordination/preemption.cpp
@@ -42,12 +42,13 @@
       if (p.stop && p.state >= PlaceState::Sent && p.state <= PlaceState::Running)
         stops.push_back({Command::Op::Stop, p.key, p.attempt, p.grace_s});
     if (stops.empty()) continue;
-    call_worker(m->address, encode_direct(epoch_, m->session, stops),
-                [this, name = m->name](int status, const std::optional<Report>& report) {
-                  if (status == 200 && report && report->machine == name &&
-                      report->token == epoch_ && tables_.machine(name) != nullptr)
-                    take_report(*report, true);
-                });
+    call_worker(
+        m->address, encode_direct(epoch_, m->session, stops),
+        [this, name = m->name, sent = clock_.now](int status, const std::optional<Report>& report) {
+          if (status == 200 && report && report->machine == name && report->token == epoch_ &&
+              tables_.machine(name) != nullptr)
+            take_report(*report, sent);
+        });
   }
 }
 
--- a/src/coordination/rebuild.cpp
+++ b/src/coordination/rebuild.cpp
@@ -46,7 +46,7 @@
   rentals_dirty_ = true;
   log(Log::Level::Info, "event=leading jobs=", tables_.jobs.size(),
       " finished=", tables_.finished.size(), " machines=", tables_.machines.size(),
-      " after_ms=", now - led_since_);
+      " seq=", head_seq_, " after_ms=", now - led_since_, " fence_ms=", fence_at_ - now);
   send_heartbeats();
   rebuild_tick();
   inquire_tick();
@@ -166,13 +166,20 @@
   // Machines that an unreadable value named can't be asked; but their leases run out.
   if (unknown_machines_ && now < fence_at_) return;
   rebuilding_ = false;
+  // Those that weren't heard held what is placed anew from now on: their leases are over.
+  std::size_t unheard = 0;
+  for (auto& [name, m] : tables_.machines) {
+    if (!m->recorded || m->reported) continue;
+    m->sessions.close_unheard(now);
+    ++unheard;
+  }
   for (auto& [id, job] : tables_.jobs) {
     tables_.unknown_to_queued(*job);
     review_gang(*job);
     settle_job(*job);
   }
   placement_dirty_ = true;
-  log(Log::Level::Info, "event=rebuilt after_ms=", now - led_since_);
+  log(Log::Level::Info, "event=rebuilt after_ms=", now - led_since_, " unheard=", unheard);
 }
 
 // It may hold tasks, and hasn't been heard under our token.
@@ -224,7 +231,7 @@
                 if (report->token > epoch_) return step_down("a worker has seen a higher token");
                 if (status == 200) {
                   zone_reached_[report->zone] = clock_.now;
-                  take_report(*report, true);
+                  take_report(*report, sent);
                 } else if (status == 409 && machine->probe_session != report->session) {
                   machine->probe_session = report->session;
                   inquire(*machine);
--- a/src/coordination/reports.cpp
+++ b/src/coordination/reports.cpp
@@ -28,7 +28,11 @@
     // The worker's tasks live on for a bounded time while we can't tell whether we still lead.
     if (now >= lease_deadline_ + keep_alive_span())
       return answer(in.origin, 503, encode_error("lease lapsed"));
-    if (Machine* m = tables_.machine(r.machine)) m->answered = m->last_report = now;
+    if (Machine* m = tables_.machine(r.machine)) {
+      if (!m->sessions.admits(r.session)) return refuse_report(in, *m);
+      m->answered = now;
+      if (!is_late(*m, r)) m->last_report = now;
+    }
     return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0,
                   lease_deadline_ + keep_alive_span());
   }
@@ -54,8 +58,10 @@
     if (m != nullptr) m->answered = now;
     return answer(in.origin, 200, encode_report_answer(epoch_, {}), 0, command_until());
   }
-  if (!take_report(r, false)) return answer(in.origin, 503, encode_error("late report"));
+  const ReportOutcome outcome = take_report(r, {});
   m = tables_.machine(r.machine);
+  if (outcome == ReportOutcome::SessionOver) return refuse_report(in, *m);
+  if (outcome != ReportOutcome::Taken) return answer(in.origin, 503, encode_error("late report"));
   m->last_own_report = now;
   reporting_ = m;
   review_gangs();
@@ -70,9 +76,46 @@
   if (auto node = worker_calls_.extract(in.call)) node.mapped()(in.status, in.report);
 }
 
-bool Core::take_report(const Report& r, bool direct) {
+// A report of a session that is proved to be over. Held back by the network, such reports were
+// taken for present: tasks that had been placed anew came to life again in their former zone
+// (incident held-reports). If it is the proof that was wrong, the answer to an inquiry that leaves
+// now says so.
+void Core::refuse_report(const WorkerReport& in, Machine& m) {
+  const Report& r = in.report;
+  log(Log::Level::Info, "event=report_refused machine=", m.name, " zone=", r.zone,
+      " session=", r.session, " seq=", r.seq, " tasks=", r.tasks.size(),
+      " over_ms=", clock_.now - m.sessions.closed_at());
+  answer(in.origin, 503, encode_error("session is over"));
+  if (!in_command(clock_.now)) return;
+  if (m.address.empty()) m.address = r.address;
+  m.probe_session = std::max(m.probe_session, r.session);
+  inquire_if_due(m);
+}
+
+// No start leaves for a machine that isn't recorded, and what is recorded is known: once a rebuild
+// is over, a machine that isn't known has no tasks. One that reports some was returned long ago.
+bool Core::unknown_with_tasks(const Report& r) {
+  return !rebuilding_ && !r.tasks.empty() && tables_.machine(r.machine) == nullptr;
+}
+
+bool Core::is_late(const Machine& m, const Report& r) {
+  return m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq);
+}
+
+Core::ReportOutcome Core::take_report(const Report& r, std::optional<Time> asked) {
+  if (unknown_with_tasks(r)) {
+    log(Log::Level::Info, "event=report_of_unknown machine=", r.machine, " session=", r.session,
+        " tasks=", r.tasks.size());
+    return ReportOutcome::UnknownMachine;
+  }
   Machine& m = tables_.add_machine(r.machine, clock_.now);
-  if (m.reported && std::pair(r.session, r.seq) <= std::pair(m.session, m.seq)) return false;
+  if (is_late(m, r)) {
+    log(Log::Level::Debug, "event=report_late machine=", m.name, " session=", r.session,
+        " seq=", r.seq, " known_session=", m.session, " known_seq=", m.seq);
+    return ReportOutcome::Late;
+  }
+  if (asked) m.sessions.answered(r.session, *asked);
+  if (!m.sessions.admits(r.session)) return ReportOutcome::SessionOver;
   if (!m.reported)
     first_report(m, r);
   else if (r.session > m.session)
@@ -83,13 +126,13 @@
   std::vector<bool> seen(m.placements.size(), false);
   for (const ReportedTask& t : r.tasks) take_task(m, t, seen);
   for (std::size_t i = seen.size(); i-- > 0;)
-    if (!seen[i]) task_not_reported(m, i, r.seq, direct);
+    if (!seen[i]) task_not_reported(m, i, r.seq, asked.has_value());
   // Not before the report is taken in: emptying the machine moves its placements about.
   if (!m.error_jobs.empty()) check_for_fault(m);
   if (r.notice_s && m.notice_until == 0) take_notice(m, *r.notice_s);
   if (m.empty() && m.idle_since == 0) m.idle_since = clock_.now;
   if (!m.empty()) m.idle_since = 0;
-  return true;
+  return ReportOutcome::Taken;
 }
 
 void Core::first_report(Machine& m, const Report& r) {
@@ -127,6 +170,12 @@
 void Core::note_report(Machine& m, const Report& r) {
   const Time now = clock_.now;
   tables_.size_machine(m);
+  // An answer to an inquiry renews no lease; but of a session that we have only just met, or whose
+  // lease was over by our reckoning, we don't know how much is left. Machines that had come back
+  // were once returned at their first silence, as if their old lease still counted. Only once until
+  // it reports by itself: one that reaches no controller is to be returned in the end.
+  const bool lease_unknown = r.session > m.session || now >= expiry(m);
+  if (!m.reported || (lease_unknown && m.last_own_report >= m.answered)) m.answered = now;
   if (!m.reported || now - m.last_report > silent_after()) m.steady_since = now;
   m.reported = true;
   m.token_refused_since = 0;
@@ -134,12 +183,11 @@
   m.session = m.probe_session = r.session;
   m.seq = r.seq;
   m.last_report = now;
+  // It takes work again. Without a pass for it, what waited did so until something else changed.
+  if (m.silent) placement_dirty_ = true;
   m.silent = false;
   zone_unreachable_at_.erase(m.zone);
   m.probe_failures = 0;
-  // An answer to an inquiry renews no lease; but what the worker has at least is unknown to us when
-  // we have only just met it.
-  if (m.answered == 0) m.answered = now;
 }
 
 // A report doesn't show what was placed there.
@@ -174,7 +222,8 @@
 
 // Forgets what was placed there; the job may be over with that.
 void Core::drop(Machine& m, std::size_t index) {
-  Job* job = m.placements[index].job;
+  const Placement& p = m.placements[index];
+  Job* job = p.job != nullptr ? p.job : p.stray_of;
   tables_.erase(m, index);
   if (job == nullptr) return;
   review_gang(*job);
@@ -196,7 +245,8 @@
 void Core::session_lost(Machine& m, const char* why) {
   if (m.placements.empty()) return;
   log(Log::Level::Info, "event=tasks_gone machine=", m.name, " count=", m.placements.size(),
-      " cause=\"", why, "\"");
+      " zone=", m.zone, " session=", m.session, " heard_ms=", clock_.now - m.last_report,
+      " answered_ms=", clock_.now - m.answered, " cause=\"", why, "\"");
   while (!m.placements.empty()) drop(m, m.placements.size() - 1);
   m.idle_since = clock_.now;
   m.fetching_now.clear();
@@ -241,6 +291,9 @@
   // It was there before we knew of it: that its start was carried out needs no proof.
   p.state = PlaceState::Sent;
   if (job != nullptr && on_machine && !job->active()) stop_task(p, 0);
+  // It would start, with its image, where the job's other tasks forbid it.
+  if (job != nullptr && t.state == RunState::Fetching && !Tables::zone_allowed(*job, m.zone))
+    stop_task(p, 0);
   if (job != nullptr) review_gang(*job);
   return p;
 }
@@ -255,13 +308,7 @@
   const bool on_machine = t.state != RunState::Exited;
   if (on_machine) {
     stray.held = true;
-    if (job != nullptr) {
-      stray.need = job->spec().need;
-      stray.team = job->team;
-      // A team that the settings no longer name has no limit to count against.
-      if (stray.team != nullptr) stray.team->used += stray.need;
-      m.used += stray.need;
-    }
+    if (job != nullptr) Tables::hold_stray(*job, m, stray);
     log(Log::Level::Info, "event=stray_task machine=", m.name, " task=", t.key.job, "/",
         t.key.index, " attempt=", t.attempt);
   } else {
@@ -311,6 +358,7 @@
 void Core::task_exited(Machine& m, Placement& p) {
   const Time now = clock_.now;
   Job* job = p.job;
+  Job* stray_of = p.stray_of;
   const bool was_held = p.held;
   const auto finish_hold = [&] {
     if (was_held) tables_.unhold(m, p);
@@ -323,7 +371,9 @@
   if (job == nullptr) {
     finish_hold();
     p.settled = true;
-    return;
+    if (stray_of == nullptr) return;
+    review_gang(*stray_of);
+    return settle_job(*stray_of);
   }
   review_gang(*job);
   Task& task = job->tasks[p.key.index];
@@ -423,6 +473,11 @@
       } else if (p.state != PlaceState::Saving || p.grace_s <= 0) {
         out.push_back({Command::Op::Stop, p.key, p.attempt, p.grace_s});
       }
+    } else if (p.state == PlaceState::Reserved && p.job != nullptr &&
+               !Tables::zone_allowed(*p.job, m.zone)) {
+      // Since it was placed, tasks of the job have been found elsewhere.
+      drop(m, i);
+      placement_dirty_ = true;
     }
   }
   if (!m.recorded || !usable(m)) return out;
@@ -438,11 +493,20 @@
     p.since = clock_.now;
     out.push_back({Command::Op::Start, p.key, p.attempt, 0});
     log(Log::Level::Debug, "event=start machine=", m.name, " task=", p.key.job, "/", p.key.index,
-        " attempt=", p.attempt, " waited_ms=", clock_.now - p.job->accepted);
+        " attempt=", p.attempt, " waited_ms=", clock_.now - p.job->accepted, zones_known(*p.job));
   }
   return out;
 }
 
+// For a log line: where tasks are that have a say in where others may start.
+std::string Core::zones_known(const Job& job) {
+  if (!job.spec().one_zone && !job.spec().spread) return {};
+  std::string zones;
+  for (const auto& [zone, tasks] : job.per_zone)
+    zones += (zones.empty() ? " zones=" : ",") + zone + ":" + std::to_string(tasks);
+  return zones;
+}
+
 void Core::note_fetch_begun(Machine& m, const JobSpec& s) {
   const MachineType* t = tables_.type(m.type);
   if (t == nullptr || t->fetch_gb_per_s <= 0 || m.has_image(s.image)) return;
--- a/src/coordination/rounds.cpp
+++ b/src/coordination/rounds.cpp
@@ -559,6 +559,7 @@
 // Marks a job that is over for its last record, once none of its tasks can be on a machine.
 void Core::settle_job(Job& job) {
   if (job.active() || job.record.final || job.placed > 0 || job.unknown > 0) return;
+  if (!job.strays.empty()) return;
   job.record.final = true;
   touch(job);
   if (job.record.phase == Phase::Active) cancel_over(job);
@@ -580,8 +581,10 @@
     ++examined_;
     Machine* m = tables_.machine(name);
     if (m == nullptr) continue;
-    for (Placement& p : m->placements)
+    for (Placement& p : m->placements) {
       if (p.job == &job) p.job = nullptr;
+      if (p.stray_of == &job) p.stray_of = nullptr;
+    }
   }
   gangs_.erase(id);
   tables_.finished[id] = {job.record.phase, job.spec().tasks, job.record.seq};
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -1,6 +1,7 @@
 #include "storage/tables.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace sailreel {
 
@@ -54,6 +55,26 @@
   return nullptr;
 }
 
+bool Job::only_in(const std::string& zone) const {
+  return std::all_of(per_zone.begin(), per_zone.end(),
+                     [&](const auto& tasks) { return tasks.first == zone; }) &&
+         std::all_of(strays.begin(), strays.end(),
+                     [&](const StrayTask& stray) { return stray.zone == zone; });
+}
+
+std::uint32_t Job::tasks_in(const std::string& zone) const {
+  const auto placed_there = per_zone.find(zone);
+  const auto strays_there = std::count_if(
+      strays.begin(), strays.end(), [&](const StrayTask& stray) { return stray.zone == zone; });
+  return (placed_there == per_zone.end() ? 0 : placed_there->second) +
+         static_cast<std::uint32_t>(strays_there);
+}
+
+bool Job::has_stray(std::uint32_t index) const {
+  return std::any_of(strays.begin(), strays.end(),
+                     [&](const StrayTask& stray) { return stray.index == index; });
+}
+
 namespace {
 
 std::optional<double> lower_of(double limit, std::optional<double> cap) {
@@ -223,11 +244,29 @@
   return m.placements.back();
 }
 
+void Tables::hold_stray(Job& job, Machine& m, Placement& stray) {
+  stray.held = true;
+  stray.stray_of = &job;
+  stray.need = job.spec().need;
+  stray.team = job.team;
+  // A team that the settings no longer name has no limit to count against.
+  if (stray.team != nullptr) stray.team->used += stray.need;
+  m.used += stray.need;
+  job.strays.push_back({stray.key.index, m.zone});
+  job.machines_used.insert(m.name);
+}
+
 void Tables::unhold(Machine& m, Placement& p) {
   if (!p.held) return;
   p.held = false;
   m.used -= p.need;
   if (p.team != nullptr) p.team->used -= p.need;
+  if (Job* job = std::exchange(p.stray_of, nullptr); job != nullptr) {
+    const auto it = std::find_if(job->strays.begin(), job->strays.end(), [&](const StrayTask& s) {
+      return s.index == p.key.index && s.zone == m.zone;
+    });
+    if (it != job->strays.end()) job->strays.erase(it);
+  }
   if (p.job == nullptr) return;
   Job& job = *p.job;
   if (p.state == PlaceState::Running || p.state == PlaceState::Saving) --job.running;
@@ -264,12 +303,16 @@
   const JobSpec& s = job.spec();
   // Tasks whose place isn't known yet could be in any zone.
   if ((s.one_zone || s.spread) && job.unknown > 0) return false;
-  if (s.one_zone && !job.per_zone.empty() && !job.per_zone.contains(zone)) return false;
-  if (s.spread) {
-    const auto it = job.per_zone.find(zone);
-    if (it != job.per_zone.end() && it->second >= job.zone_cap()) return false;
-  }
-  return true;
+  // Known in two zones, for whatever reason, it gets no place until one of them is left: any of the
+  // two once counted as its zone (incident held-reports).
+  if (s.one_zone && !job.only_in(zone)) return false;
+  return !s.spread || job.tasks_in(zone) < job.zone_cap();
+}
+
+bool Tables::zone_allowed(const Job& job, const std::string& zone) {
+  const JobSpec& s = job.spec();
+  if (s.one_zone && !job.only_in(zone)) return false;
+  return !s.spread || job.tasks_in(zone) <= job.zone_cap();
 }
 
 void Tables::mark_done(Job& job, std::uint32_t index) {
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -15,6 +15,7 @@
 #include "protocol/messages.hpp"
 #include "protocol/settings.hpp"
 #include "storage/checkpoint.hpp"
+#include "storage/session_fence.hpp"
 
 namespace sailreel {
 
@@ -34,6 +35,12 @@
   Time not_before = 0;
 };
 
+/// An attempt that is on a machine although its task has another place, or none.
+struct StrayTask {
+  std::uint32_t index = 0;
+  std::string zone;
+};
+
 struct Job {
   JobRecord record;
   bool committed = false;                 // its acceptance is in the checkpoint
@@ -55,6 +62,7 @@
   std::uint32_t queued = 0, unknown = 0, placed = 0, running = 0;
   std::uint32_t next_queued = 0;                  // no task below is queued
   std::map<std::string, std::uint32_t> per_zone;  // placed tasks
+  std::vector<StrayTask> strays;
   /// Machines that have, or had, a placement that names the job.
   std::set<std::string> machines_used;
   std::set<std::string> error_machines;
@@ -72,6 +80,12 @@
   /// It has failed on several machines and run on none: more likely it is submitted with a mistake
   /// than that all of these are faulty.
   [[nodiscard]] bool suspect() const { return !proven && error_machines.size() > 1; }
+  /// No task of it is known outside of the zone.
+  [[nodiscard]] bool only_in(const std::string& zone) const;
+  /// How many tasks of it are known in the zone.
+  [[nodiscard]] std::uint32_t tasks_in(const std::string& zone) const;
+  /// The task may still be on a machine that is not its place.
+  [[nodiscard]] bool has_stray(std::uint32_t index) const;
   /// How many tasks may be in one zone.
   [[nodiscard]] std::uint32_t zone_cap() const {
     return spec().spread ? (spec().tasks + 1) / 2 : spec().tasks;
@@ -90,7 +104,8 @@
 
 /// One attempt of a task on a machine.
 struct Placement {
-  Job* job = nullptr;  // null: not a task's present place
+  Job* job = nullptr;       // null: not a task's present place
+  Job* stray_of = nullptr;  // the job of such an attempt, while it is held
   TeamBook* team = nullptr;
   TaskKey key;
   Resources need;
@@ -127,6 +142,7 @@
   bool recorded = false;  // the checkpoint lists it
   bool record_dirty = false;
   std::uint64_t session = 0, seq = 0;
+  SessionFence sessions;     // those that are over by our own proof
   Time rented = 0;           // or first heard of
   Time last_report = 0;      // fresh, or a direct answer
   Time steady_since = 0;     // heard without a gap since then
@@ -208,6 +224,9 @@
 
   /// Binds a task to a machine, against the machine's room, the team and the zone.
   Placement& place(Job& job, std::uint32_t index, Machine& m, std::uint64_t attempt, Time now);
+  /// Counts an attempt that is on the machine, but not its task's place, against the machine, the
+  /// team and the zone.
+  static void hold_stray(Job& job, Machine& m, Placement& stray);
   /// Frees what a placement holds; the task is queued again unless it is done.
   void unhold(Machine& m, Placement& p);
   /// Removes the placement from the machine's list.
@@ -217,6 +236,8 @@
   /// The part of it that no other task has a say in, and the part that the job's other tasks have.
   [[nodiscard]] bool suits(const JobSpec& s, const Machine& m) const;
   [[nodiscard]] static bool zone_open(const Job& job, const std::string& zone);
+  /// True if what is known of the job allows the tasks that it has in the zone.
+  [[nodiscard]] static bool zone_allowed(const Job& job, const std::string& zone);
   [[nodiscard]] bool type_allowed(const JobSpec& s, const std::string& type) const;
   void mark_done(Job& job, std::uint32_t index);
   /// Tasks that weren't found anywhere are queued.
--- a/tests/support/core_driver.hpp
+++ b/tests/support/core_driver.hpp
@@ -2,7 +2,9 @@
 // workers and the cloud, and may lay out a checkpoint beforehand.
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,13 +69,18 @@
     }
   }
 
-  /// Sends a report and returns the commands of its answer.
-  std::string report(Report report) {
+  /// Sends a report and returns its answer.
+  const Answer& answer_to(Report report) {
     const std::uint64_t call = ++next_origin_;
     report.token = core_.epoch();
     step(WorkerReport{{Origin::Kind::Local, call, 0}, std::move(report), {}});
-    return answers_[call].body;
+    return answers_[call];
   }
+  /// The same, of which only the commands matter.
+  std::string report(Report report) { return answer_to(std::move(report)).body; }
+
+  /// What the worker at an address answers to a direct command; nothing if this is empty.
+  std::function<std::optional<Report>(const std::string& address)> on_direct;
 
   /// The machine types that the cloud names.
   void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
@@ -120,7 +127,10 @@
       }
       inputs_.push_back(CloudAnswer{cloud->call, reply});
     } else if (const auto* worker = std::get_if<CallWorker>(&action)) {
-      inputs_.push_back(WorkerAnswer{worker->call, 0, {}});
+      std::optional<Report> report;
+      if (on_direct) report = on_direct(worker->address);
+      if (report) report->token = core_.epoch();
+      inputs_.push_back(WorkerAnswer{worker->call, report ? 200 : 0, std::move(report)});
     } else if (const auto* line = std::get_if<Log>(&action)) {
       if (line->level == Log::Level::Warning) warnings_.push_back(line->text);
     }
