--- a/review/standins/deployment.hpp
+++ b/review/standins/deployment.hpp
@@ -117,7 +117,6 @@
   [[nodiscard]] bool stopped() const { return stopped_; }
   void tick();
   [[nodiscard]] const std::vector<Task>& tasks() const { return tasks_; }
-  [[nodiscard]] bool holds(const std::string& job, std::uint32_t index) const;
   /// The number of tasks of the job that this machine fetches the image for, or runs.
   [[nodiscard]] std::size_t holding(const std::string& job) const;
   [[nodiscard]] bool room_for(const Resources& need) const;
@@ -135,6 +134,7 @@
   void execute(const Command& command);
   void start(const Command& command);
   void changed() { changed_ = true; }
+  void token_changed();
   void next_node(const std::string& wanted);
   std::string report();
   [[nodiscard]] Resources used() const;
@@ -147,6 +147,7 @@
   std::map<std::string, Time> images_;  // image -> when it is here
   std::size_t node_ = 0;
   std::uint64_t session_ = 1, seq_ = 0, token_ = 0;
+  Time token_changed_at_ = -sailreel::kNever;
   Time session_began_ = 0, lease_from_ = 0, next_report_ = 0, last_report_ = 0;
   bool in_flight_ = false, changed_ = false, stopped_ = false;
 };
@@ -155,8 +156,6 @@
 struct Node {
   std::string name, zone, listen, peer_listen, state, cloud, settings_file, log_file;
   pid_t pid = 0;
-  /// The state service answers this node with 503.
-  bool refused_by_state = false;
   std::unique_ptr<HttpServer> state_server, cloud_server;
 };
 
@@ -165,8 +164,6 @@
   JobSpec spec;
   std::string last_state;
   Time accepted_at = 0, last_answer_at = 0;
-  bool cancel_asked = false;
-  bool failed_422 = false;
 };
 
 class Deployment {
@@ -299,11 +296,6 @@
     submit_again(spec.id, now());
   }
 
-  void cancel(const std::string& id) {
-    jobs[id].cancel_asked = true;
-    cancel_again(id, now());
-  }
-
   /// Sends a request to a node that is up; `then` gets status 0 if there is no answer in time.
   void request(std::size_t node, const std::string& method, const std::string& path,
                const std::string& body, Time timeout,
@@ -441,27 +433,12 @@
                 answered(id, body);
                 return after(5000, [this, id] { poll(id); });
               }
-              if (status == 400 || status == 422) {
-                jobs[id].failed_422 = true;
-                return;
-              }
+              if (status == 400 || status == 422) return;
               if (now() - first < 60'000)
                 after(1000, [this, id, first] { submit_again(id, first); });
             });
   }
 
-  void cancel_again(const std::string& id, Time first) {
-    const std::size_t node = pick_node();
-    request(node, "POST", "/v1/jobs/" + id + "/withdraw", "{}", 5000,
-            [this, id, first, node](int status, const std::string& body) {
-              record("user: withdraw %s at %s -> %d %s", id.c_str(), nodes[node].name.c_str(),
-                     status, body.c_str());
-              if (status == 200) return answered(id, body);
-              if (now() - first < 60'000)
-                after(1000, [this, id, first] { cancel_again(id, first); });
-            });
-  }
-
   void answered(const std::string& id, const std::string& body) {
     JobView& job = jobs[id];
     if (job.accepted_at == 0) job.accepted_at = now();
@@ -487,8 +464,6 @@
     const auto call = sailreel::decode_kv_request(request.method, request.path, request.body);
     HttpServer& server = *nodes[node].state_server;
     if (!call) return server.respond(request.connection, 400, "{\"error\":\"malformed\"}", 0);
-    if (nodes[node].refused_by_state)
-      return server.respond(request.connection, 503, "{\"error\":\"trouble\"}", 0);
     store.handle(*call, EventLoop::now_ms(),
                  [&server, connection = request.connection](const ServiceResponse& response) {
                    server.respond(connection, response.status, response.body, 0);
@@ -637,13 +612,6 @@
   tasks_.clear();
 }
 
-inline bool Worker::holds(const std::string& job, std::uint32_t index) const {
-  return std::any_of(tasks_.begin(), tasks_.end(), [&](const Task& task) {
-    return task.status.key.job == job && task.status.key.index == index &&
-           (task.status.state == RunState::Running || task.status.state == RunState::Saving);
-  });
-}
-
 inline std::size_t Worker::holding(const std::string& job) const {
   return static_cast<std::size_t>(
       std::count_if(tasks_.begin(), tasks_.end(), [&](const Task& task) {
@@ -678,6 +646,14 @@
   return sum;
 }
 
+// A higher token counts as a change at most once in half of a lease.
+inline void Worker::token_changed() {
+  const Time now = deployment_.now();
+  if (now - token_changed_at_ < sailreel::ms(deployment_.plan.lease_s) / 2) return;
+  token_changed_at_ = now;
+  changed();
+}
+
 inline std::string Worker::report() {
   sailreel::Heartbeat heartbeat;
   heartbeat.machine = name;
@@ -758,7 +734,7 @@
   if (status != 200) return next_node("");
   const auto batch = sailreel::decode_commands(body);
   if (!batch || batch->fencing_token < token_ || session != session_) return;
-  if (batch->fencing_token > token_) changed();
+  if (batch->fencing_token > token_) token_changed();
   token_ = batch->fencing_token;
   lease_from_ = std::max(lease_from_, sent);
   for (const Command& command : batch->commands) execute(command);
@@ -788,7 +764,7 @@
     return server_.respond(request.connection, 400, "{\"error\":\"malformed\"}", 0);
   if (batch->fencing_token < token_ || *batch->incarnation != session_)
     return server_.respond(request.connection, 409, report(), 0);
-  if (batch->fencing_token > token_) changed();
+  if (batch->fencing_token > token_) token_changed();
   token_ = batch->fencing_token;
   for (const Command& command : batch->commands) execute(command);
   server_.respond(request.connection, 200, report(), 0);
