Review case 5: an array of very small tasks makes workers' reports too large to be accepted

Placement doesn't bound a machine's tasks by what a report may hold: the report passes 64 KiB, gets 400, and the worker's lease ends all its tasks, again and again. The stand-ins count rental requests, and only the case's own rule ends a run with 1.

--- a/review/standins-2/platform.hpp
+++ b/review/standins-2/platform.hpp
@@ -87,7 +87,11 @@
   [[nodiscard]] double now_s() const { return static_cast<double>(now() - began_) / 1000.0; }
   [[nodiscard]] static Time now() { return sailreel::EventLoop::now_ms(); }
   void record(const std::string& line);
+  /// The case's rule was broken: the run ends with 1.
   void broken(const std::string& rule, const std::string& what);
+  /// The record notes what looks like a break of another rule. It doesn't count: an answer that was
+  /// on its way while another node gave a newer one looks like this too.
+  void other_rule(const std::string& rule, const std::string& what);
   [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
 
   // ---- controllers ----
@@ -98,8 +102,10 @@
   [[nodiscard]] std::size_t nodes() const { return pids_.size(); }
   /// The node that the state service's leader key names; empty if there is none.
   [[nodiscard]] std::optional<std::size_t> leader() const;
-  /// Ends as soon as a controller has ended by itself.
+  /// Notes controllers that have ended by themselves, as one that finds its port taken. A run with
+  /// such an end says nothing about the rule.
   void check_processes();
+  [[nodiscard]] bool ended_by_itself() const { return ended_by_itself_; }
 
   // ---- users ----
   Job& submit(sailreel::JobSpec spec, double run_s = 0);
@@ -128,6 +134,7 @@
   std::map<std::string, Worker> workers;
   bool spot_capacity = true, ordinary_capacity = true;
   std::size_t max_machines = 48;
+  std::size_t rental_requests = 0;  // requests to rent machines so far
   /// Whether the task fails on the machine as soon as it runs.
   std::function<bool(const Worker&, const sailreel::TaskKey&)> fails;
   void take_back(const std::string& name);
@@ -174,6 +181,7 @@
   std::vector<std::string> listen_, peer_listen_, store_listen_, cloud_listen_;
   std::vector<std::unique_ptr<sailreel::HttpServer>> store_servers_, cloud_servers_;
   std::vector<pid_t> pids_;
+  bool ended_by_itself_ = false;
   sailreel::HttpClient users_{loop_, 300};
   std::map<std::string, Job> jobs_;
   std::map<std::string, std::string> bodies_;
