Autoscaler: log what becomes of waiting work

A job that waited for a machine left no line in the log: neither that the autoscaler saw it, nor which of its rules kept it from requesting a machine.

event=unmet_demand, at most once in a worker's lease, counts the tasks that wait, what they need, those that are left out and why, and the machines that the rest comes to. Amounts are a new type of log field.

--- a/src/controller/autoscaler.cpp
+++ b/src/controller/autoscaler.cpp
@@ -36,6 +36,8 @@
 constexpr Time kMinListIntervalMs = 1'000;
 /// Logged as the number of machines needed if no machine type can hold the guaranteed quotas.
 constexpr double kMaxLoggedMachines = 1e9;
+/// Unmet demand is logged at most once in this many worker leases.
+constexpr Time kUnmetDemandLogLeases = 1;
 /// A demand for less than this fraction of a machine doesn't justify another one.
 constexpr double kMinMachineFraction = 0.01;
 
@@ -161,12 +163,34 @@
 }
 
 void Controller::autoscale() {
+  scale_out_summary_ = {};
   FleetSupply supply = count_supply();
+  for (const auto& [kind, count] : supply.pending) scale_out_summary_.pending += count;
   const OnDemandCapacity on_demand = on_demand_capacity();
   Demand demand = demand_of_waiting(on_demand, supply);
   add_headroom(on_demand, demand);
   for (const auto& [pool, total] : demand.in_zone) scale_out_in_zone(pool, total, supply);
   for (const auto& [kind, total] : demand.anywhere) scale_out_missing(kind, total, supply);
+  log_unmet_demand();
+}
+
+// Logs what became of the tasks that wait for room. Without this line, the log doesn't tell why no
+// machine is requested for them.
+void Controller::log_unmet_demand() {
+  const ScaleOutSummary& summary = scale_out_summary_;
+  if (summary.tasks == 0 || clock_.now < next_unmet_demand_log_) return;
+  next_unmet_demand_log_ = clock_.now + kUnmetDemandLogLeases * worker_lease();
+  outbox_.log(Log::Level::Info, LogEvent::UnmetDemand,
+              {{"tasks", summary.tasks},
+               {"cpus", summary.demand.cpus},
+               {"gpus", summary.demand.gpus},
+               {"memory_gb", summary.demand.memory_gb},
+               {"in_freed_room", summary.in_freed_room},
+               {"without_type", summary.without_type},
+               {"over_allowance", summary.over_allowance},
+               {"machines", summary.machines},
+               {"pending", summary.pending},
+               {"requested", summary.requested}});
 }
 
 // Counts the machines by kind and zone, including those requested from the cloud, and separately
@@ -278,39 +302,51 @@
   Resources freed = room_freed_by_arrays();
   Resources allowance = on_demand_allowance(on_demand, supply);
   on_demand_awaited_ = false;
+  ScaleOutSummary& summary = scale_out_summary_;
   for (UnmetDemand unmet : unmet_demand_) {
-    if (unmet.want.spot) subtract_freed_room(freed, unmet);
+    summary.tasks += unmet.tasks;
+    summary.demand += unmet.total;
+    if (unmet.want.spot) summary.in_freed_room += subtract_freed_room(freed, unmet);
     if (const MachineType* type = unmet.want.spot ? cheapest_type(unmet.want, true) : nullptr) {
       add({type->name, true}, unmet);
       continue;
     }
     const MachineType* type = cheapest_type(unmet.want, false);
-    if (type == nullptr) continue;
-    if (unmet.want.spot && !unmet.guaranteed) limit_to_allowance(*type, allowance, unmet);
+    if (type == nullptr) {
+      summary.without_type += unmet.tasks;
+      continue;
+    }
+    if (unmet.want.spot && !unmet.guaranteed)
+      summary.over_allowance += limit_to_allowance(*type, allowance, unmet);
     add({type->name, false}, unmet);
   }
   return demand;
 }
 
 // Subtracts the tasks that fit into the freed room from the unmet demand, and their needs from the
-// freed room.
-void Controller::subtract_freed_room(Resources& freed, UnmetDemand& unmet) {
-  if (unmet.tasks == 0) return;
+// freed room. Returns their number.
+std::uint32_t Controller::subtract_freed_room(Resources& freed, UnmetDemand& unmet) {
+  if (unmet.tasks == 0) return 0;
   const Resources& each = unmet.want.each;
   double tasks = unmet.tasks;
   if (each.gpus > 0) tasks = std::min(tasks, freed.gpus / each.gpus);
   if (each.cpus > 0) tasks = std::min(tasks, freed.cpus / each.cpus);
-  const Resources served = scaled(each, std::floor(std::max(0.0, tasks)));
+  tasks = std::floor(std::max(0.0, tasks));
+  const Resources served = scaled(each, tasks);
   freed -= served;
   unmet.total -= served;
+  const auto served_tasks = static_cast<std::uint32_t>(tasks);
+  unmet.tasks -= served_tasks;
+  return served_tasks;
 }
 
 // Limits the on-demand capacity that is added for work that has no guaranteed quota and may use
 // spot instances: the allowance, plus one machine so that the work progresses where there are no
 // spot instances. For the rest it waits for spot instances. Without this limit, an array of a team
-// without a guaranteed quota filled the expensive machines of a zone.
-void Controller::limit_to_allowance(const MachineType& type, Resources& allowance,
-                                    UnmetDemand& unmet) {
+// without a guaranteed quota filled the expensive machines of a zone. Returns how many whole tasks
+// are left out.
+std::uint32_t Controller::limit_to_allowance(const MachineType& type, Resources& allowance,
+                                             UnmetDemand& unmet) {
   constexpr double kSlack = 1e-6;
   const double cpus = allowance.cpus + type.size.cpus;
   const double gpus = allowance.gpus + type.size.gpus;
@@ -320,6 +356,7 @@
   if (unmet.total.gpus > 0) share = std::min(share, std::max(0.0, gpus) / unmet.total.gpus);
   unmet.total = scaled(unmet.total, share);
   allowance -= unmet.total;
+  return static_cast<std::uint32_t>(unmet.tasks * (1 - share));
 }
 
 // Adds headroom for future work that requires on-demand machines, as a share of what such work uses
@@ -349,7 +386,9 @@
                                    FleetSupply& supply) {
   const MachineType* type = tables_.type(pool.kind.type);
   if (type == nullptr) return;
-  const double needed = std::ceil(machines_for(total, type->size) - kMinMachineFraction);
+  const double machines = machines_for(total, type->size);
+  const double needed = std::ceil(machines - kMinMachineFraction);
+  scale_out_summary_.machines += machines;
   double& pending_machines = supply.pending_in_zone[pool];
   if (needed > pending_machines && may_scale_out(pool.kind, pool.zone)) {
     const auto missing = static_cast<std::uint32_t>(needed - pending_machines);
@@ -368,6 +407,7 @@
   const MachineType* type = tables_.type(kind.type);
   if (type == nullptr) return;
   const double machines = machines_for(total, type->size);
+  scale_out_summary_.machines += machines;
   int missing = static_cast<int>(std::ceil(machines - kMinMachineFraction)) -
                 static_cast<int>(supply.pending[kind]);
   std::map<std::string, std::uint32_t> launches_by_zone;
@@ -408,6 +448,7 @@
                  {"spot", kind.spot ? 1 : 0},
                  {"count", batch}});
     pending_scale_outs_[name] = std::move(scale_out);
+    scale_out_summary_.requested += batch;
     checkpoint_.mark_scale_outs_changed();
   }
 }
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -440,6 +440,18 @@
   struct OnDemandCapacity {
     Resources size, used;
   };
+  /// What one run of the autoscaler did with the tasks that wait for room. The counts of tasks name
+  /// those for which it requested no machine, by the reason.
+  struct ScaleOutSummary {
+    std::uint32_t tasks = 0;           // all that wait
+    std::uint32_t in_freed_room = 0;   // expected to fit into the room that arrays free
+    std::uint32_t without_type = 0;    // no machine type that may be launched now can hold them
+    std::uint32_t over_allowance = 0;  // wait for spot instances, of which none can be launched now
+    Resources demand;                  // of all that wait
+    double machines = 0;               // what the demand comes to after these are left out
+    double pending = 0;                // machines requested earlier that aren't up
+    std::uint32_t requested = 0;       // machines requested by this run
+  };
   [[nodiscard]] FleetSupply count_supply() const;
   [[nodiscard]] bool may_scale_out(const MachineKind& kind, const std::string& zone) const;
   [[nodiscard]] const MachineType* cheapest_type(const ResourceRequest& want, bool spot) const;
@@ -447,8 +459,10 @@
   [[nodiscard]] Resources on_demand_allowance(const OnDemandCapacity& on_demand,
                                               const FleetSupply& supply) const;
   Demand demand_of_waiting(const OnDemandCapacity& on_demand, const FleetSupply& supply);
-  static void subtract_freed_room(Resources& freed, UnmetDemand& unmet);
-  void limit_to_allowance(const MachineType& type, Resources& allowance, UnmetDemand& unmet);
+  static std::uint32_t subtract_freed_room(Resources& freed, UnmetDemand& unmet);
+  std::uint32_t limit_to_allowance(const MachineType& type, Resources& allowance,
+                                   UnmetDemand& unmet);
+  void log_unmet_demand();
   void add_headroom(const OnDemandCapacity& on_demand, Demand& demand) const;
   void scale_out_in_zone(const InstancePool& pool, const Resources& total, FleetSupply& supply);
   void scale_out_missing(const MachineKind& kind, const Resources& total, FleetSupply& supply);
@@ -574,6 +588,8 @@
   /// none of them should be drained.
   bool on_demand_awaited_ = false;
   Time drain_not_before_ = 0;
+  ScaleOutSummary scale_out_summary_;  // of the latest run of the autoscaler
+  Time next_unmet_demand_log_ = 0;
   /// Observations of concurrent image fetches. Above 0: the fetches share a machine's rate; below
   /// 0: they don't.
   int fetch_votes_ = 0;
--- a/src/controller/log_line.cpp
+++ b/src/controller/log_line.cpp
@@ -1,6 +1,25 @@
 #include "controller/log_line.hpp"
 
+#include <array>
+#include <cstdio>
+
 namespace sailreel {
+namespace {
+
+/// Appends an amount with three decimals, of which trailing zeros are left out.
+void append_amount(double amount, std::string& line) {
+  constexpr std::size_t kMaxAmountBytes = 32;
+  std::array<char, kMaxAmountBytes> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", amount);
+  std::string_view shown(text.data());
+  if (shown.find('.') != std::string_view::npos) {
+    shown = shown.substr(0, shown.find_last_not_of('0') + 1);
+    if (shown.back() == '.') shown.remove_suffix(1);
+  }
+  line += shown;
+}
+
+}  // namespace
 
 std::string_view to_string(LogEvent event) {
   switch (event) {
@@ -90,6 +109,8 @@
       return "scale_out";
     case LogEvent::NoCapacity:
       return "no_capacity";
+    case LogEvent::UnmetDemand:
+      return "unmet_demand";
     case LogEvent::CapacityLimit:
       return "capacity_limit";
     case LogEvent::ProcessorLimit:
@@ -113,6 +134,8 @@
     line += std::to_string((*task)->index);
   } else if (const auto* number = std::get_if<std::int64_t>(&value_)) {
     line += std::to_string(*number);
+  } else if (const auto* amount = std::get_if<double>(&value_)) {
+    append_amount(*amount, line);
   } else {
     line += std::to_string(std::get<std::uint64_t>(value_));
   }
--- a/src/controller/log_line.hpp
+++ b/src/controller/log_line.hpp
@@ -63,6 +63,7 @@
   // capacity
   ScaleOut,
   NoCapacity,
+  UnmetDemand,
   CapacityLimit,
   ProcessorLimit,
 };
@@ -77,6 +78,8 @@
   LogField(std::string_view key, Number number) : key_(key), value_(std::int64_t{number}) {}
   template <std::unsigned_integral Number>
   LogField(std::string_view key, Number number) : key_(key), value_(std::uint64_t{number}) {}
+  /// An amount, written with up to three decimals.
+  LogField(std::string_view key, double amount) : key_(key), value_(amount) {}
   /// A cause, written in quotation marks.
   template <typename Cause>
   requires std::is_enum_v<Cause> LogField(std::string_view key, Cause cause)
@@ -91,7 +94,8 @@
   };
 
   std::string_view key_;
-  std::variant<std::string_view, std::int64_t, std::uint64_t, Quoted, const TaskKey*> value_;
+  std::variant<std::string_view, std::int64_t, std::uint64_t, double, Quoted, const TaskKey*>
+      value_;
 };
 
 /// Returns the line without a line break, beginning with the epoch and the event.
--- a/tests/support/controller_driver.hpp
+++ b/tests/support/controller_driver.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "controller/controller.hpp"
+#include "controller/log_line.hpp"
 #include "protocol/worker_codec.hpp"
 #include "sim/fake_kv_store.hpp"
 #include "sim/simulated_region.hpp"
@@ -87,8 +88,26 @@
   /// or if it returns nothing, the command fails.
   std::function<std::optional<Heartbeat>(const std::string& address)> on_direct;
 
-  /// Sets the machine types that the cloud lists. All other requests to the cloud get 503.
+  /// Sets the machine types that the cloud lists. Until `open_cloud` is called, all other requests
+  /// to the cloud get 503.
   void set_types(std::vector<MachineType> types) { types_ = std::move(types); }
+  /// Makes the cloud grant all requests. The machines are named m-1, m-2 and so on; the list of
+  /// machines stays empty.
+  void open_cloud() { cloud_open_ = true; }
+  /// The scale-out requests that the open cloud has granted, in order.
+  [[nodiscard]] const std::vector<ScaleOutRequest>& scale_outs() const { return scale_outs_; }
+  /// The number of machines that these requests asked for.
+  [[nodiscard]] std::uint32_t machines_launched() const { return machines_launched_; }
+  /// The names of the machines that the open cloud was told to terminate, in order.
+  [[nodiscard]] const std::vector<std::string>& terminated() const { return terminated_; }
+  /// The log lines that have this event, in order.
+  [[nodiscard]] std::vector<std::string> log_lines(LogEvent event) const {
+    const std::string name = "event=" + std::string(to_string(event)) + " ";
+    std::vector<std::string> lines;
+    for (const std::string& line : log_lines_)
+      if (line.find(name) != std::string::npos) lines.push_back(line);
+    return lines;
+  }
 
   /// Submits a job and returns the status of the response; 0 if there is none yet.
   int submit(const std::string& body) {
@@ -125,13 +144,7 @@
         inputs_.push_back(KvResponseReceived{id, std::move(reply)});
       });
     } else if (const auto* cloud = std::get_if<CallCloud>(&action)) {
-      CloudResponse reply;
-      reply.status = 503;
-      if (cloud->request.kind == CloudRequest::Kind::Types && !types_.empty()) {
-        reply.status = 200;
-        reply.types = types_;
-      }
-      inputs_.push_back(CloudResponseReceived{cloud->call, reply});
+      inputs_.push_back(CloudResponseReceived{cloud->call, cloud_response(cloud->request)});
     } else if (const auto* worker = std::get_if<CallWorker>(&action)) {
       std::optional<Heartbeat> heartbeat;
       if (on_direct) heartbeat = on_direct(worker->address);
@@ -140,7 +153,24 @@
           WorkerResponseReceived{worker->call, heartbeat ? 200 : 0, std::move(heartbeat)});
     } else if (const auto* line = std::get_if<Log>(&action)) {
       if (line->level == Log::Level::Warning) warnings_.push_back(line->text);
+      log_lines_.push_back(line->text);
+    }
+  }
+
+  CloudResponse cloud_response(const CloudRequest& request) {
+    CloudResponse response;
+    response.status = cloud_open_ ? 200 : 503;
+    if (request.kind == CloudRequest::Kind::Types && !types_.empty()) {
+      response.status = 200;
+      response.types = types_;
+    } else if (cloud_open_ && request.kind == CloudRequest::Kind::ScaleOut) {
+      scale_outs_.push_back(request.scale_out);
+      for (std::uint32_t i = 0; i < request.scale_out.count; ++i)
+        response.names.push_back("m-" + std::to_string(++machines_launched_));
+    } else if (cloud_open_ && request.kind == CloudRequest::Kind::Terminate) {
+      terminated_.insert(terminated_.end(), request.names.begin(), request.names.end());
     }
+    return response;
   }
 
   Controller controller_;
@@ -152,7 +182,11 @@
   Time now_ = 1'000;
   std::uint64_t next_request_ = 0;
   std::map<std::uint64_t, Response> responses_;
-  std::vector<std::string> warnings_;
+  std::vector<std::string> warnings_, log_lines_;
+  bool cloud_open_ = false;
+  std::vector<ScaleOutRequest> scale_outs_;
+  std::uint32_t machines_launched_ = 0;
+  std::vector<std::string> terminated_;
 };
 
 }  // namespace sailreel::sim
