Autoscaler: a task that waits gets a machine however little it needs

Cause: the number of machines was the sum of waiting work and headroom, less a hundredth of a machine, rounded up. The subtraction is meant for headroom, which no task waits for, but it was applied to the tasks as well. Evidence: in the record unmet_demand shows the task queued, nothing set off against it, a type for it, machines=0.004, pending=0, requested=0 until the end.

Now a pool's demand keeps apart what tasks wait for and what is headroom (PoolDemand). Tasks get whole machines, at least one if any waits, with a tolerance for the rounding error of sums alone; the hundredth stays for headroom and for the rest of a used-up allowance.

--- a/src/controller/autoscaler.cpp
+++ b/src/controller/autoscaler.cpp
@@ -38,8 +38,6 @@
 constexpr double kMaxLoggedMachines = 1e9;
 /// Unmet demand is logged at most once in this many worker leases.
 constexpr Time kUnmetDemandLogLeases = 1;
-/// A demand for less than this fraction of a machine doesn't justify another one.
-constexpr double kMinMachineFraction = 0.01;
 
 Resources scaled(const Resources& resources, double ratio) {
   return {resources.cpus * ratio, resources.gpus * ratio, resources.memory_gb * ratio};
@@ -169,8 +167,8 @@
   const OnDemandCapacity on_demand = on_demand_capacity();
   Demand demand = demand_of_waiting(on_demand, supply);
   add_headroom(on_demand, demand);
-  for (const auto& [pool, total] : demand.in_zone) scale_out_in_zone(pool, total, supply);
-  for (const auto& [kind, total] : demand.anywhere) scale_out_missing(kind, total, supply);
+  for (const auto& [pool, wanted] : demand.in_zone) scale_out_in_zone(pool, wanted, supply);
+  for (const auto& [kind, wanted] : demand.anywhere) scale_out_missing(kind, wanted, supply);
   log_unmet_demand();
 }
 
@@ -294,10 +292,9 @@
                                                  const FleetSupply& supply) {
   Demand demand;
   const auto add = [&demand](const MachineKind& kind, const UnmetDemand& unmet) {
-    if (unmet.want.zone.empty())
-      demand.anywhere[kind] += unmet.total;
-    else
-      demand.in_zone[{kind, unmet.want.zone}] += unmet.total;
+    PoolDemand& wanted =
+        unmet.want.zone.empty() ? demand.anywhere[kind] : demand.in_zone[{kind, unmet.want.zone}];
+    wanted.add(unmet.tasks, unmet.total);
   };
   Resources freed = room_freed_by_arrays();
   Resources allowance = on_demand_allowance(on_demand, supply);
@@ -343,8 +340,8 @@
 // Limits the on-demand capacity that is added for work that has no guaranteed quota and may use
 // spot instances: the allowance, plus one machine so that the work progresses where there are no
 // spot instances. For the rest it waits for spot instances. Without this limit, an array of a team
-// without a guaranteed quota filled the expensive machines of a zone. Returns how many whole tasks
-// are left out.
+// without a guaranteed quota filled the expensive machines of a zone. Returns how many tasks are
+// left out.
 std::uint32_t Controller::limit_to_allowance(const MachineType& type, Resources& allowance,
                                              UnmetDemand& unmet) {
   constexpr double kSlack = 1e-6;
@@ -354,9 +351,19 @@
   double share = 1;
   if (unmet.total.cpus > 0) share = std::min(share, std::max(0.0, cpus) / unmet.total.cpus);
   if (unmet.total.gpus > 0) share = std::min(share, std::max(0.0, gpus) / unmet.total.gpus);
+  if (share == 1) {
+    allowance -= unmet.total;
+    return 0;
+  }
+  const auto allowed_tasks = static_cast<std::uint32_t>(unmet.tasks * share);
+  const std::uint32_t left_out = unmet.tasks - allowed_tasks;
+  unmet.tasks = allowed_tasks;
   unmet.total = scaled(unmet.total, share);
+  // The rest of an allowance that other work has used isn't a reason for another machine.
+  if (allowed_tasks == 0 && machines_for(unmet.total, type.size) < kMinMachineFraction)
+    unmet.total = {};
   allowance -= unmet.total;
-  return static_cast<std::uint32_t>(unmet.tasks * (1 - share));
+  return left_out;
 }
 
 // Adds headroom for future work that requires on-demand machines, as a share of what such work uses
@@ -369,12 +376,12 @@
   const MachineType* type = cheapest_type(ResourceRequest{}, false);
   if (type == nullptr) return;
   // `used` includes waiting work, for which there is no room yet: the headroom comes on top of it.
-  Resources& wanted = demand.anywhere[{type->name, false}];
+  Resources& wanted = demand.anywhere[{type->name, false}].with_headroom;
   const double share = 1 + options_.headroom_ratio;
   // The room that is added in single zones, for work bound to them, counts as provided.
   Resources provided = on_demand.size;
-  for (const auto& [pool, total] : demand.in_zone)
-    if (!pool.kind.spot) provided += total;
+  for (const auto& [pool, wanted_there] : demand.in_zone)
+    if (!pool.kind.spot) provided += wanted_there.waiting;
   wanted.gpus = std::max(wanted.gpus, used.gpus * share - provided.gpus);
   wanted.cpus = std::max(wanted.cpus, used.cpus * share - provided.cpus);
 }
@@ -382,13 +389,12 @@
 // Launches the machines that are missing for work bound to a zone. The machines that are still to
 // come up there count for this work first, and for work that may run in any zone only beyond that.
 // Without this distinction, a job bound to one zone caused launches in all zones again and again.
-void Controller::scale_out_in_zone(const InstancePool& pool, const Resources& total,
+void Controller::scale_out_in_zone(const InstancePool& pool, const PoolDemand& demand,
                                    FleetSupply& supply) {
   const MachineType* type = tables_.type(pool.kind.type);
   if (type == nullptr) return;
-  const double machines = machines_for(total, type->size);
-  const double needed = std::ceil(machines - kMinMachineFraction);
-  scale_out_summary_.machines += machines;
+  const double needed = machines_needed(demand, type->size);
+  scale_out_summary_.machines += machines_for(demand.with_headroom, type->size);
   double& pending_machines = supply.pending_in_zone[pool];
   if (needed > pending_machines && may_scale_out(pool.kind, pool.zone)) {
     const auto missing = static_cast<std::uint32_t>(needed - pending_machines);
@@ -402,13 +408,12 @@
 
 // Launches the missing machines, each in the zone that has the fewest machines of that kind. Zones
 // that are unreachable are used only if no other zone may be used.
-void Controller::scale_out_missing(const MachineKind& kind, const Resources& total,
+void Controller::scale_out_missing(const MachineKind& kind, const PoolDemand& demand,
                                    FleetSupply& supply) {
   const MachineType* type = tables_.type(kind.type);
   if (type == nullptr) return;
-  const double machines = machines_for(total, type->size);
-  scale_out_summary_.machines += machines;
-  int missing = static_cast<int>(std::ceil(machines - kMinMachineFraction)) -
+  scale_out_summary_.machines += machines_for(demand.with_headroom, type->size);
+  int missing = static_cast<int>(machines_needed(demand, type->size)) -
                 static_cast<int>(supply.pending[kind]);
   std::map<std::string, std::uint32_t> launches_by_zone;
   auto& machines_by_zone = supply.by_zone[kind];
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -25,6 +25,7 @@
 #include "controller/outbox.hpp"
 #include "controller/peer_table.hpp"
 #include "controller/pending_scale_out.hpp"
+#include "controller/pool_demand.hpp"
 #include "controller/regional_quotas.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
@@ -432,8 +433,8 @@
   };
   /// Room that is to be added: for work that runs in any zone, and for work bound to one zone.
   struct Demand {
-    std::map<MachineKind, Resources> anywhere;
-    std::map<InstancePool, Resources> in_zone;
+    std::map<MachineKind, PoolDemand> anywhere;
+    std::map<InstancePool, PoolDemand> in_zone;
   };
   /// The total size of the on-demand machines that accept work, and the resources used by work that
   /// may not run on spot instances.
@@ -464,8 +465,8 @@
                                    UnmetDemand& unmet);
   void log_unmet_demand();
   void add_headroom(const OnDemandCapacity& on_demand, Demand& demand) const;
-  void scale_out_in_zone(const InstancePool& pool, const Resources& total, FleetSupply& supply);
-  void scale_out_missing(const MachineKind& kind, const Resources& total, FleetSupply& supply);
+  void scale_out_in_zone(const InstancePool& pool, const PoolDemand& demand, FleetSupply& supply);
+  void scale_out_missing(const MachineKind& kind, const PoolDemand& demand, FleetSupply& supply);
   void scale_out(const MachineKind& kind, const std::string& zone, std::uint32_t count);
   void send_scale_outs();
   void handle_scale_out_response(const std::string& name, const CloudResponse& reply);
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -3,7 +3,7 @@
 
 #include "protocol/fake_server_codec.hpp"
 #include "support/controller_driver.hpp"
-#include "support/scenarios.hpp"
+#include "support/small_jobs.hpp"
 
 namespace sailreel::sim {
 namespace {
@@ -33,10 +33,65 @@
   ControllerDriver driver_;
 };
 
+class AutoscalerSmallJobTest : public AutoscalerTest,
+                               public ::testing::WithParamInterface<SmallJob> {};
+
+// Guards against work that waits for ever on an empty fleet because it needs less than a hundredth
+// of a machine.
+TEST_P(AutoscalerSmallJobTest, GetsOneMachine) {
+  submit_and_wait(GetParam().spec);
+  EXPECT_EQ(driver_.machines_launched(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, AutoscalerSmallJobTest,
+                         ::testing::ValuesIn(small_jobs_of_all_kinds("job-1")), small_job_name);
+
+// Guards against leaving out the small job when it waits beside work that fills machines exactly.
+TEST_F(AutoscalerTest, ASmallJobBesideALargeOneGetsAMachineOfItsOwn) {
+  JobSpec large = small_array("job-1");
+  large.need.cpus = sample_type().size.cpus;
+  large.spot = true;  // so that no headroom is added
+  submit_and_wait(large);
+  ASSERT_EQ(driver_.machines_launched(), 1U);
+  JobSpec small = small_array("job-2");
+  small.spot = true;
+  submit_and_wait(small);
+  EXPECT_EQ(driver_.machines_launched(), 2U);
+}
+
+TEST_F(AutoscalerTest, SmallJobsShareOneMachine) {
+  for (std::size_t n = 1; n <= 20; ++n) submit(small_array(job_id(n)));
+  run_while_machines_boot();
+  EXPECT_EQ(driver_.machines_launched(), 1U);
+}
+
+// Ten jobs that each need a tenth of a machine fit into one, whatever the rounding error of the
+// sum.
+TEST_F(AutoscalerTest, JobsThatFillAMachineExactlyGetOne) {
+  for (std::size_t n = 1; n <= 10; ++n) {
+    JobSpec spec = small_array(job_id(n));
+    spec.need = {sample_type().size.cpus / 10, 0, sample_type().size.memory_gb / 10};
+    spec.spot = true;
+    submit(spec);
+  }
+  run_while_machines_boot();
+  EXPECT_EQ(driver_.machines_launched(), 1U);
+}
+
+// Headroom is capacity that no task waits for, so a very small part of a machine doesn't justify a
+// further one.
+TEST_F(AutoscalerTest, AnotherMachineIsNotRequestedForVeryLittleHeadroom) {
+  constexpr double kExcess = 0.005;  // in machines
+  JobSpec spec = small_array("job-1");
+  spec.need.cpus = sample_type().size.cpus * (1 + kExcess) / (1 + Options{}.headroom_ratio);
+  submit_and_wait(spec);
+  EXPECT_EQ(driver_.machines_launched(), 1U);
+}
+
 // The log tells what became of waiting work, so that it shows why no machine is requested.
 TEST_F(AutoscalerTest, UnmetDemandIsLoggedOncePerWorkerLease) {
-  JobSpec spec = array_job("job-1", 3, 40);
-  spec.spot = false;
+  JobSpec spec = small_array("job-1");
+  spec.tasks = 3;
   spec.need = {0.5, 0.25, 4};
   submit_and_wait(spec);
   std::vector<std::string> lines = driver_.log_lines(LogEvent::UnmetDemand);
