Autoscaler: machines on their way to an unreachable zone are requested once

Cause: a machine that is requested or boots in an unreachable zone didn't count as on its way, so that work gets one elsewhere. But machines go to unreachable zones all the same: for work bound to that zone, and for all work if no zone is reachable. Each run of the autoscaler, four in a heartbeat interval, then found nothing on its way.

Now machines on their way are counted by pool. Work bound to a zone counts those of its zone; work that runs anywhere leaves out those in unreachable zones only while a reachable zone can give others. In an unreachable zone a machine isn't late, as it can't be heard.

--- a/src/controller/autoscaler.cpp
+++ b/src/controller/autoscaler.cpp
@@ -163,7 +163,7 @@
 void Controller::autoscale() {
   scale_out_summary_ = {};
   FleetSupply supply = count_supply();
-  for (const auto& [kind, count] : supply.pending) scale_out_summary_.pending += count;
+  for (const auto& [pool, count] : supply.pending) scale_out_summary_.pending += count;
   const OnDemandCapacity on_demand = on_demand_capacity();
   Demand demand = demand_of_waiting(on_demand, supply);
   add_headroom(on_demand, demand);
@@ -192,8 +192,7 @@
 }
 
 // Counts the machines by kind and zone, including those requested from the cloud, and separately
-// the machines that are still to come up. Those in unreachable zones, and those that take much
-// longer to boot than usual, aren't expected to come up.
+// the machines that are still to come up.
 Controller::FleetSupply Controller::count_supply() const {
   FleetSupply supply;
   for (const auto& [name, machine] : tables_.machines) {
@@ -202,24 +201,42 @@
     if (type == nullptr) continue;
     const MachineKind kind{machine->type, machine->spot};
     ++supply.by_zone[kind][machine->zone];
-    if (!machine->heard_in_epoch && !zone_unreachable(machine->zone) &&
-        clock_.now - machine->launched < ms(type->boot_s * kLateBootFactor)) {
-      supply.pending[kind] += 1;
-      supply.pending_in_zone[{kind, machine->zone}] += 1;
-    }
+    if (may_still_come_up(*machine, *type)) supply.pending[{kind, machine->zone}] += 1;
   }
   for (const auto& [name, scale_out] : pending_scale_outs_) {
     const ScaleOutRequest& request = scale_out.request;
     const MachineKind kind{request.type, request.spot};
-    if (!zone_unreachable(request.zone)) {
-      supply.pending[kind] += request.count;
-      supply.pending_in_zone[{kind, request.zone}] += request.count;
-    }
+    supply.pending[{kind, request.zone}] += request.count;
     supply.by_zone[kind][request.zone] += static_cast<int>(request.count);
   }
   return supply;
 }
 
+// True if the machine hasn't been heard yet, unless it takes much longer to boot than usual. That
+// says nothing in an unreachable zone, where a machine can't be heard.
+bool Controller::may_still_come_up(const Machine& machine, const MachineType& type) const {
+  if (machine.heard_in_epoch) return false;
+  return zone_unreachable(machine.zone) ||
+         clock_.now - machine.launched < ms(type.boot_s * kLateBootFactor);
+}
+
+// The machines of a kind that are still to come up, for work that may run in any zone. Those in
+// unreachable zones count only if others can't be launched in a reachable zone instead: otherwise
+// each run would request machines there again.
+double Controller::usable_pending(const MachineKind& kind, const FleetSupply& supply) const {
+  const MachineType* type = tables_.type(kind.type);
+  const bool reachable_zone_left =
+      type != nullptr &&
+      std::any_of(type->zones.begin(), type->zones.end(), [&](const std::string& zone) {
+        return !zone_unreachable(zone) && may_scale_out(kind, zone);
+      });
+  double machines = 0;
+  for (const auto& [pool, count] : supply.pending)
+    if (pool.kind == kind && (!reachable_zone_left || !zone_unreachable(pool.zone)))
+      machines += count;
+  return machines;
+}
+
 bool Controller::may_scale_out(const MachineKind& kind, const std::string& zone) const {
   const auto it = no_capacity_until_.find({kind, zone});
   return it == no_capacity_until_.end() || it->second <= clock_.now;
@@ -274,11 +291,11 @@
   const double max_size_ratio = 1 + 2 * options_.headroom_ratio;
   Resources allowance{on_demand.used.cpus * max_size_ratio - on_demand.size.cpus,
                       on_demand.used.gpus * max_size_ratio - on_demand.size.gpus, 0};
-  for (const auto& [kind, count] : supply.pending)
-    if (const MachineType* type = tables_.type(kind.type); type != nullptr && !kind.spot) {
-      allowance.cpus -= count * type->size.cpus;
-      allowance.gpus -= count * type->size.gpus;
-    }
+  for (const MachineType& type : tables_.types) {
+    const double pending = usable_pending({type.name, false}, supply);
+    allowance.cpus -= pending * type.size.cpus;
+    allowance.gpus -= pending * type.size.gpus;
+  }
   for (const auto& [name, machine] : tables_.machines)
     if (!machine->spot && machine->draining && can_start_tasks(*machine))
       allowance -= machine->size;
@@ -395,26 +412,26 @@
   if (type == nullptr) return;
   const double needed = machines_needed(demand, type->size);
   scale_out_summary_.machines += machines_for(demand.with_headroom, type->size);
-  double& pending_machines = supply.pending_in_zone[pool];
-  if (needed > pending_machines && may_scale_out(pool.kind, pool.zone)) {
-    const auto missing = static_cast<std::uint32_t>(needed - pending_machines);
+  double& pending = supply.pending[pool];
+  if (needed > pending && may_scale_out(pool.kind, pool.zone)) {
+    const auto missing = static_cast<std::uint32_t>(needed - pending);
     scale_out(pool.kind, pool.zone, missing);
     supply.by_zone[pool.kind][pool.zone] += static_cast<int>(missing);
-    supply.pending[pool.kind] += missing;
-    pending_machines += missing;
+    pending += missing;
   }
-  supply.pending[pool.kind] -= std::min(needed, pending_machines);
+  pending -= std::min(needed, pending);
 }
 
 // Launches the missing machines, each in the zone that has the fewest machines of that kind. Zones
-// that are unreachable are used only if no other zone may be used.
+// that are unreachable are used only if no other zone may be used, and the machines that are still
+// to come up there count only then: without that, each run requested all the machines again.
 void Controller::scale_out_missing(const MachineKind& kind, const PoolDemand& demand,
                                    FleetSupply& supply) {
   const MachineType* type = tables_.type(kind.type);
   if (type == nullptr) return;
   scale_out_summary_.machines += machines_for(demand.with_headroom, type->size);
   int missing = static_cast<int>(machines_needed(demand, type->size)) -
-                static_cast<int>(supply.pending[kind]);
+                static_cast<int>(usable_pending(kind, supply));
   std::map<std::string, std::uint32_t> launches_by_zone;
   auto& machines_by_zone = supply.by_zone[kind];
   for (; missing > 0; --missing) {
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -427,8 +427,7 @@
   /// Machines that are up or on their way: `pending` counts those that are requested or booting,
   /// `by_zone` includes those that are up.
   struct FleetSupply {
-    std::map<MachineKind, double> pending;
-    std::map<InstancePool, double> pending_in_zone;
+    std::map<InstancePool, double> pending;
     std::map<MachineKind, std::map<std::string, int>> by_zone;
   };
   /// Room that is to be added: for work that runs in any zone, and for work bound to one zone.
@@ -454,6 +453,8 @@
     std::uint32_t requested = 0;       // machines requested by this run
   };
   [[nodiscard]] FleetSupply count_supply() const;
+  [[nodiscard]] bool may_still_come_up(const Machine& machine, const MachineType& type) const;
+  [[nodiscard]] double usable_pending(const MachineKind& kind, const FleetSupply& supply) const;
   [[nodiscard]] bool may_scale_out(const MachineKind& kind, const std::string& zone) const;
   [[nodiscard]] const MachineType* cheapest_type(const ResourceRequest& want, bool spot) const;
   [[nodiscard]] Resources room_freed_by_arrays() const;
--- a/tests/small_fleet_test.cpp
+++ b/tests/small_fleet_test.cpp
@@ -48,6 +48,15 @@
   for (const std::string& name : region.machines_up()) region.kill_machine(name);
 }
 
+/// A service of a team without a limit, of whose replicas a machine holds one.
+JobSpec one_replica_per_machine(const std::string& id, std::uint32_t replicas) {
+  JobSpec spec = service_job(id, replicas);
+  spec.team = "guest";
+  spec.need = {9, 4, 10};
+  spec.image_gb = 1;
+  return spec;
+}
+
 /// Runs a small job on the machine of a larger one that is over, stops that machine, and checks
 /// that the small job runs again and that its machine goes once the work is done.
 void expect_job_runs_again(JobSpec small, std::uint64_t seed) {
@@ -114,5 +123,82 @@
   expect_rules_kept_and_nothing_left(region, kSeed);
 }
 
+// Guards against requesting all machines again in each run of the autoscaler: when all machines of
+// each zone have stopped, every zone counts as unreachable, and the machines on their way there
+// weren't counted. Each machine may be requested once more, in a zone that is reachable first.
+TEST(SmallFleet, MachinesThatAllStopAreReplacedOnce) {
+  constexpr std::uint32_t kReplicas = 6;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SimulatedRegion region(small_fleet_plan(seed));
+    LaunchCounter counter(region);
+    region.run_until(2'000);
+    region.submit(one_replica_per_machine(kLargeJob, kReplicas));
+    region.run_until(30'000);
+    ASSERT_EQ(region.machines_of(kLargeJob).size(), kReplicas);
+    counter.reset();
+    kill_all_machines(region);
+    region.run();
+    EXPECT_EQ(region.machines_of(kLargeJob).size(), kReplicas);
+    EXPECT_LE(counter.launched(), 2 * kReplicas);
+    EXPECT_EQ(region.cloud().machines.size(), kReplicas);
+    expect_rules_kept_and_nothing_left(region, seed);
+  }
+}
+
+// The same for work that is bound to a zone all of whose machines have stopped.
+TEST(SmallFleet, MachinesOfOneZoneThatAllStopAreReplacedOnce) {
+  constexpr std::uint32_t kReplicas = 3;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SimulatedRegion region(small_fleet_plan(seed));
+    LaunchCounter counter(region);
+    region.run_until(2'000);
+    JobSpec bound = one_replica_per_machine(kLargeJob, kReplicas);
+    bound.zone = "za";
+    region.submit(bound);
+    JobSpec elsewhere = one_replica_per_machine(kSmallJob, 2);
+    elsewhere.zone = "zb";
+    region.submit(elsewhere);
+    region.run_until(30'000);
+    counter.reset();
+    for (const std::string& name : region.machines_of(kLargeJob)) region.kill_machine(name);
+    region.run();
+    EXPECT_EQ(region.machines_of(kLargeJob).size(), kReplicas);
+    EXPECT_EQ(counter.launched(), kReplicas);
+    expect_rules_kept_and_nothing_left(region, seed);
+  }
+}
+
+// The same while a zone is cut off and a job that is bound to it waits. A machine that isn't heard
+// for long after its launch is terminated and requested again.
+TEST(SmallFleet, AZoneThatIsCutOffGetsFewMachines) {
+  constexpr Time kCutMs = 60'000;
+  constexpr std::uint32_t kReplicas = 3;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    SimulatedRegion region(small_fleet_plan(seed));
+    LaunchCounter counter(region);
+    region.run_until(2'000);
+    for (const char* zone : {"za", "zb"}) {
+      JobSpec bound = one_replica_per_machine(zone[1] == 'a' ? kLargeJob : kSmallJob, kReplicas);
+      bound.zone = zone;
+      region.submit(bound);
+    }
+    region.run_until(30'000);
+    counter.reset();
+    region.cut_zone("zb", kCutMs, false);
+    region.run_until(40'000);
+    JobSpec waiting = one_replica_per_machine("job-3", 1);
+    waiting.zone = "zb";
+    region.submit(waiting);
+    region.run();
+    EXPECT_EQ(region.machines_of("job-3").size(), 1U);
+    EXPECT_EQ(region.machines_of(kSmallJob).size(), kReplicas);
+    EXPECT_LE(counter.launched(), 2 * (kReplicas + 1));
+    expect_rules_kept_and_nothing_left(region, seed);
+  }
+}
+
 }  // namespace
 }  // namespace sailreel::sim
