Autoscaler: spot work that needs memory only gets machines

What users saw: a job that may use spot instances and needs memory only, or nothing, never got a machine, not even on an empty fleet.

Cause: waiting spot work is set off against the room that running arrays are expected to free, limited by the GPUs and CPUs that a task needs. Where it needs neither there was no limit, so all its tasks counted as served, also by no array.

Now memory limits it as well, and a task that needs nothing isn't set off.

--- a/src/controller/autoscaler.cpp
+++ b/src/controller/autoscaler.cpp
@@ -343,8 +343,16 @@
   if (unmet.tasks == 0) return 0;
   const Resources& each = unmet.want.each;
   double tasks = unmet.tasks;
-  if (each.gpus > 0) tasks = std::min(tasks, freed.gpus / each.gpus);
-  if (each.cpus > 0) tasks = std::min(tasks, freed.cpus / each.cpus);
+  bool needs_room = false;
+  const auto bound_by = [&](double room, double need) {
+    if (need <= 0) return;
+    needs_room = true;
+    tasks = std::min(tasks, room / need);
+  };
+  bound_by(freed.gpus, each.gpus);
+  bound_by(freed.cpus, each.cpus);
+  bound_by(freed.memory_gb, each.memory_gb);
+  if (!needs_room) return 0;
   tasks = std::floor(std::max(0.0, tasks));
   const Resources served = scaled(each, tasks);
   freed -= served;
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -13,7 +13,8 @@
 /// A leader that knows the sample machine type and has no machine, before an open cloud.
 class AutoscalerTest : public ::testing::Test {
  protected:
-  AutoscalerTest() : driver_(settings_without_peers()) {
+  explicit AutoscalerTest(Settings settings = settings_without_peers())
+      : driver_(std::move(settings)) {
     driver_.set_types({sample_type()});
     driver_.open_cloud();
     driver_.run_for(2'000);
@@ -88,6 +89,25 @@
   EXPECT_EQ(driver_.machines_launched(), 1U);
 }
 
+// Guards against counting all tasks that need memory only, or nothing, as served by the room that
+// arrays will free, although there is no array: such work never got a machine.
+TEST_F(AutoscalerTest, SpotWorkThatNeedsMemoryOnlyGetsMachines) {
+  JobSpec spec = small_array("job-1");
+  spec.spot = true;
+  spec.tasks = 2;
+  spec.need = {0, 0, sample_type().size.memory_gb};
+  submit_and_wait(spec);
+  EXPECT_EQ(driver_.machines_launched(), 2U);
+}
+
+TEST_F(AutoscalerTest, SpotWorkThatNeedsNothingGetsAMachine) {
+  JobSpec spec = small_array("job-1");
+  spec.spot = true;
+  spec.need = {};
+  submit_and_wait(spec);
+  EXPECT_EQ(driver_.machines_launched(), 1U);
+}
+
 // The log tells what became of waiting work, so that it shows why no machine is requested.
 TEST_F(AutoscalerTest, UnmetDemandIsLoggedOncePerWorkerLease) {
   JobSpec spec = small_array("job-1");
--- a/tests/support/small_jobs.hpp
+++ b/tests/support/small_jobs.hpp
@@ -51,6 +51,10 @@
   add("ArrayInANamedZone", [](JobSpec& spec) { spec.zone = "za"; });
   add("ArrayInOneZone", [](JobSpec& spec) { spec.one_zone = true; });
   add("MemoryOnly", [](JobSpec& spec) { spec.need = {0, 0, 0.128}; });
+  add("SpotMemoryOnly", [](JobSpec& spec) {
+    spec.need = {0, 0, 0.128};
+    spec.spot = true;
+  });
   add("FractionOfAGpu", [](JobSpec& spec) { spec.need.gpus = 0.008; });
   add("Service", [](JobSpec& spec) {
     spec.kind = JobKind::Service;
