Autoscaler: the task that reaches its team's limit gets a machine

What users saw: work of a team whose GPU limit and tasks are decimal fractions never got a machine for the task that reaches the limit exactly, although the limit allowed it (0.3 less twice 0.1, divided by 0.1, is 0.9999...): the number of tasks that may still be counted was rounded down to 0. The check by which tasks are placed tolerates such errors.

Now both use the same tolerance (TeamQuota::tasks_allowed).

--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -307,11 +307,7 @@
                                      const std::string& zone) {
   const JobSpec& spec = job.spec();
   Resources& counted = unmet_of_team_[&team];
-  std::uint32_t wanted = tasks;
-  if (const auto limit = team.gpus_limit(); limit && spec.need.gpus > 0)
-    wanted = std::min<std::uint32_t>(
-        wanted, static_cast<std::uint32_t>(
-                    std::max(0.0, (*limit - team.used.gpus - counted.gpus) / spec.need.gpus)));
+  const std::uint32_t wanted = team.tasks_allowed(spec.need, counted, tasks);
   if (wanted == 0) return;
   const Resources total{spec.need.cpus * wanted, spec.need.gpus * wanted,
                         spec.need.memory_gb * wanted};
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -81,6 +81,9 @@
 
 namespace {
 
+/// Tolerates the rounding errors of sums of decimal fractions, in GPUs and CPUs.
+constexpr double kQuotaTolerance = 1e-6;
+
 std::optional<double> effective_limit(double limit, std::optional<double> cap) {
   if (limit <= 0) return {};
   return cap ? std::min(limit, *cap) : limit;
@@ -97,9 +100,9 @@
 }
 
 bool TeamQuota::within_cap(const Resources& total) const {
-  constexpr double kTolerance = 1e-6;
   const auto gpus = gpus_limit(), cpus = cpus_limit();
-  return (!gpus || total.gpus <= *gpus + kTolerance) && (!cpus || total.cpus <= *cpus + kTolerance);
+  return (!gpus || total.gpus <= *gpus + kQuotaTolerance) &&
+         (!cpus || total.cpus <= *cpus + kQuotaTolerance);
 }
 
 bool TeamQuota::allows(const Resources& more) const {
@@ -108,11 +111,18 @@
   return within_cap(total);
 }
 
+std::uint32_t TeamQuota::tasks_allowed(const Resources& each, const Resources& counted,
+                                       std::uint32_t wanted) const {
+  double tasks = wanted;
+  if (const auto limit = gpus_limit(); limit && each.gpus > 0)
+    tasks = std::min(tasks, (*limit + kQuotaTolerance - used.gpus - counted.gpus) / each.gpus);
+  return static_cast<std::uint32_t>(std::max(0.0, tasks));
+}
+
 bool TeamQuota::within_guarantee(const Resources& total) const {
-  constexpr double kTolerance = 1e-6;
   if (limits.gpus <= 0 && limits.cpus <= 0) return false;
-  return (limits.gpus <= 0 || total.gpus <= limits.gpus + kTolerance) &&
-         (limits.cpus <= 0 || total.cpus <= limits.cpus + kTolerance);
+  return (limits.gpus <= 0 || total.gpus <= limits.gpus + kQuotaTolerance) &&
+         (limits.cpus <= 0 || total.cpus <= limits.cpus + kQuotaTolerance);
 }
 
 double TeamQuota::used_guarantee_fraction() const {
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -234,6 +234,10 @@
   [[nodiscard]] bool within_cap(const Resources& total) const;
   /// True if the team may use `more` in addition to what it uses. A limit of 0 means unlimited.
   [[nodiscard]] bool allows(const Resources& more) const;
+  /// Returns how many more tasks that need `each`, at most `wanted`, the team may use in addition
+  /// to what it uses and to `counted`.
+  [[nodiscard]] std::uint32_t tasks_allowed(const Resources& each, const Resources& counted,
+                                            std::uint32_t wanted) const;
   /// True if `total` is within the guaranteed quota; never true for a team without one.
   [[nodiscard]] bool within_guarantee(const Resources& total) const;
   /// The fraction of its guaranteed quota that the team uses, of GPUs or CPUs, whichever is larger;
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -108,6 +108,31 @@
   EXPECT_EQ(driver_.machines_launched(), 1U);
 }
 
+/// The settings of a region with one team, which has these limits.
+Settings settings_with_limits(double cpus_max, double gpus_max) {
+  Settings settings = settings_without_peers();
+  settings.teams = {Team{"red", 0, cpus_max, 0, gpus_max}};
+  return settings;
+}
+
+class AutoscalerGpuLimitTest : public AutoscalerTest {
+ protected:
+  AutoscalerGpuLimitTest() : AutoscalerTest(settings_with_limits(0, 0.3)) {}
+};
+
+// Guards against a rounding error that left out the task with which a team reaches its limit: the
+// limit less two tenths is a little less than a tenth, so no machine was requested for that task.
+TEST_F(AutoscalerGpuLimitTest, TheTaskThatReachesTheLimitGetsAMachine) {
+  for (std::size_t n = 1; n <= 3; ++n) {
+    JobSpec spec = small_array(job_id(n));
+    spec.need = {sample_type().size.cpus, 0.1, 1};
+    spec.spot = true;
+    submit(spec);
+  }
+  run_while_machines_boot();
+  EXPECT_EQ(driver_.machines_launched(), 3U);
+}
+
 // The log tells what became of waiting work, so that it shows why no machine is requested.
 TEST_F(AutoscalerTest, UnmetDemandIsLoggedOncePerWorkerLease) {
   JobSpec spec = small_array("job-1");
