Autoscaler: no machines beyond a team's limit on CPUs

What operators paid for: waiting work was counted up to its team's limit on GPUs alone. An array of 40 tasks, of which the team's limit on CPUs allows two at a time, got 40 machines; 38 stayed empty until they were terminated as idle, again whenever the array's tasks found no room.

Now both limits apply (TeamQuota::tasks_allowed).

--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -116,6 +116,8 @@
   double tasks = wanted;
   if (const auto limit = gpus_limit(); limit && each.gpus > 0)
     tasks = std::min(tasks, (*limit + kQuotaTolerance - used.gpus - counted.gpus) / each.gpus);
+  if (const auto limit = cpus_limit(); limit && each.cpus > 0)
+    tasks = std::min(tasks, (*limit + kQuotaTolerance - used.cpus - counted.cpus) / each.cpus);
   return static_cast<std::uint32_t>(std::max(0.0, tasks));
 }
 
--- a/tests/autoscaler_test.cpp
+++ b/tests/autoscaler_test.cpp
@@ -133,6 +133,22 @@
   EXPECT_EQ(driver_.machines_launched(), 3U);
 }
 
+class AutoscalerCpuLimitTest : public AutoscalerTest {
+ protected:
+  AutoscalerCpuLimitTest() : AutoscalerTest(settings_with_limits(2 * sample_type().size.cpus, 0)) {}
+};
+
+// Guards against machines for tasks that the team's CPU limit doesn't allow yet: the limit on GPUs
+// alone was considered, so an array that needs none got a machine for each of its tasks.
+TEST_F(AutoscalerCpuLimitTest, NoMachineIsRequestedBeyondTheTeamsLimit) {
+  JobSpec spec = small_array("job-1");
+  spec.need.cpus = sample_type().size.cpus;
+  spec.tasks = 40;
+  spec.spot = true;
+  submit_and_wait(spec);
+  EXPECT_EQ(driver_.machines_launched(), 2U);
+}
+
 // The log tells what became of waiting work, so that it shows why no machine is requested.
 TEST_F(AutoscalerTest, UnmetDemandIsLoggedOncePerWorkerLease) {
   JobSpec spec = small_array("job-1");
