Autoscaler: spot work waits for room that arrays free only for a limited time

What users saw: a job that may use spot instances waited for as long as an array ran, or as long as arrays kept coming in another zone, although the cloud had machines to give. The part of their room that arrays are expected to free soon counted as enough for it: for a small job a ten-thousandth of a running array's room is, and room in another zone or in pieces that are too small was counted too.

Now waiting work is set off against that room only until a machine launched for it would be up (starvation_timeout, as for gangs), counted from when it found no room or last had a task placed. What the estimate of freed room got wrong then costs a limited time.

--- a/src/controller/autoscaler.cpp
+++ b/src/controller/autoscaler.cpp
@@ -320,7 +320,9 @@
   for (UnmetDemand unmet : unmet_demand_) {
     summary.tasks += unmet.tasks;
     summary.demand += unmet.total;
-    if (unmet.want.spot) summary.in_freed_room += subtract_freed_room(freed, unmet);
+    // Work that has waited for so long didn't get the room that arrays were expected to free.
+    if (unmet.want.spot && !unmet.starved)
+      summary.in_freed_room += subtract_freed_room(freed, unmet);
     if (const MachineType* type = unmet.want.spot ? cheapest_type(unmet.want, true) : nullptr) {
       add({type->name, true}, unmet);
       continue;
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -253,6 +253,7 @@
     Resources total;
     std::uint32_t tasks = 0;
     bool guaranteed = false;
+    bool starved = false;  // has waited for longer than a machine launched for it takes to come up
   };
   /// A kind of work for which the current pass has found nothing to preempt; it is not searched
   /// for again.
@@ -276,7 +277,7 @@
   bool make_room_at_image_holder(const Job& job, const Machine& machine);
   void bind(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt);
   void drop_unsent_of_job(Job& job);
-  void record_unmet_demand(const Job& job, const TeamQuota& team, std::uint32_t tasks,
+  void record_unmet_demand(Job& job, const TeamQuota& team, std::uint32_t tasks,
                            const std::string& zone);
   [[nodiscard]] bool fetch_violates_slo(const Job& job, const Machine& machine,
                                         const char* slo) const;
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -294,6 +294,7 @@
   tables_.place(job, index, machine, attempt, clock_.now);
   machine_changed(machine);
   machine.idle_since = 0;
+  job.unmet_since = 0;
   if (job.record.started > index) return;
   job.record.started = index + 1;
   checkpoint_.mark_changed(job);
@@ -303,7 +304,7 @@
 // limit allows beyond its usage and its demand counted so far. Demand is summed over all jobs with
 // the same request: a list limited to a number of jobs would hide most of the demand of a cold
 // start from the autoscaler.
-void Controller::record_unmet_demand(const Job& job, const TeamQuota& team, std::uint32_t tasks,
+void Controller::record_unmet_demand(Job& job, const TeamQuota& team, std::uint32_t tasks,
                                      const std::string& zone) {
   const JobSpec& spec = job.spec();
   Resources& counted = unmet_of_team_[&team];
@@ -312,14 +313,16 @@
   const Resources total{spec.need.cpus * wanted, spec.need.gpus * wanted,
                         spec.need.memory_gb * wanted};
   counted += total;
+  if (job.unmet_since == 0) job.unmet_since = clock_.now;
+  const bool starved = clock_.now - job.unmet_since > starvation_timeout();
   ResourceRequest want = resource_request_of(spec);
   want.zone = zone;
   auto it = std::find_if(unmet_demand_.begin(), unmet_demand_.end(), [&](const UnmetDemand& u) {
-    return u.guaranteed == job.guaranteed && u.want == want;
+    return u.guaranteed == job.guaranteed && u.starved == starved && u.want == want;
   });
   if (it == unmet_demand_.end())
     it = unmet_demand_.insert(unmet_demand_.end(),
-                              UnmetDemand{std::move(want), {}, 0, job.guaranteed});
+                              UnmetDemand{std::move(want), {}, 0, job.guaranteed, starved});
   it->total += total;
   it->tasks += wanted;
 }
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -79,6 +79,8 @@
   std::uint32_t errors = 0;              // attempts that failed
   bool known_to_run = false;  // a task has completed, or has run for several heartbeat intervals
   Time not_before = 0;        // no task of the job is placed before this time
+  /// Since when tasks of the job have found no room without one being placed; 0: none waits so.
+  Time unmet_since = 0;
 
   [[nodiscard]] const JobSpec& spec() const { return record.spec; }
   /// True if the commit in flight may change the phase that users may be told.
--- a/tests/small_fleet_test.cpp
+++ b/tests/small_fleet_test.cpp
@@ -123,6 +123,51 @@
   expect_rules_kept_and_nothing_left(region, kSeed);
 }
 
+// Guards against a small job that waits for as long as an array runs: the part of its room that the
+// array was expected to free sooner or later counted as enough for the small job.
+TEST(SmallFleet, ASmallSpotJobDoesNotWaitForALongArray) {
+  constexpr std::uint64_t kSeed = 61;
+  SimulatedRegion region(small_fleet_plan(kSeed));
+  LaunchCounter counter(region);
+  region.run_until(2'000);
+  JobSpec array = array_job(kLargeJob, 1, 10'000);
+  array.need = sample_type().size;
+  array.image_gb = 1;
+  region.submit(array);
+  region.run_until(20'000);
+  ASSERT_EQ(region.machines_of(kLargeJob).size(), 1U);
+  JobSpec small = small_array(kSmallJob);
+  small.need = {0.001, 0, 0.008};
+  small.spot = true;
+  region.submit(small);
+  region.run_until(80'000);
+  EXPECT_EQ(region.machines_of(kSmallJob).size(), 1U);
+  EXPECT_EQ(counter.launched(), 2U);
+  region.run();
+  EXPECT_EQ(region.cloud().machines.size(), 1U) << "only the array's machine is needed";
+}
+
+// Guards against an array bound to a zone without machines that waits for as long as other arrays
+// come in another zone: the room that these free there counted as enough.
+TEST(SmallFleet, AnArrayDoesNotWaitForRoomInAnotherZone) {
+  constexpr std::uint64_t kSeed = 61;
+  SimulatedRegion region(small_fleet_plan(kSeed));
+  region.run_until(2'000);
+  for (int n = 0; n < 20; ++n)
+    region.schedule(2'000 + n * 10'000, [&region, n] {
+      JobSpec elsewhere = array_job("job-" + std::to_string(100 + n), 20, 20);
+      elsewhere.zone = "zb";
+      elsewhere.team = "guest";
+      region.submit(elsewhere);
+    });
+  region.run_until(30'000);
+  JobSpec bound = array_job(kLargeJob, 1, 1'000);
+  bound.zone = "za";
+  region.submit(bound);
+  region.run_until(100'000);
+  EXPECT_EQ(region.machines_of(kLargeJob).size(), 1U);
+}
+
 // Guards against requesting all machines again in each run of the autoscaler: when all machines of
 // each zone have stopped, every zone counts as unreachable, and the machines on their way there
 // weren't counted. Each machine may be requested once more, in a zone that is reachable first.
