Autoscaler: one file for each of its jobs

What reads the cloud's lists (cloud_inventory.cpp), decides what to launch (scale_out.cpp) and what to terminate (scale_in.cpp), and what sends requests for instances (instance_requests.cpp) are files of their own now; each has the constants that it uses. Functions are moved as they were.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -403,7 +403,7 @@
   void stop_job(Job& job);
   [[nodiscard]] double grace_period_s(const Job& job) const;
 
-  // autoscaler.cpp
+  // autoscaler.cpp, cloud_inventory.cpp, instance_requests.cpp, scale_out.cpp, scale_in.cpp
   void autoscale_tick();
   void poll_cloud();
   void request_machine_list();
