Scheduling: log room that stays reserved without a placement

Room that a pass reserves for a task without placing it left no line in the log, so that a task that waits beside free room couldn't be told from one that waits for a stop, a fetch or a limit. `room_reserved` names machine, job, cause, for how long and whether the room is there already; only once the reservations last for a worker's lease, and at most once in a lease for each job.

No decision changes.

--- a/src/controller/causes.cpp
+++ b/src/controller/causes.cpp
@@ -138,6 +138,22 @@
   return "";
 }
 
+std::string_view to_string(ReservationCause cause) {
+  switch (cause) {
+    case ReservationCause::FetchLimit:
+      return "fetch limit";
+    case ReservationCause::ImageHolderPreempted:
+      return "image holder preempted";
+    case ReservationCause::ImageHolderMigrated:
+      return "image holder migrated";
+    case ReservationCause::Preempted:
+      return "preempted";
+    case ReservationCause::GangStarved:
+      return "gang starved";
+  }
+  return "";
+}
+
 std::string_view to_string(IncarnationLossCause cause) {
   switch (cause) {
     case IncarnationLossCause::LeaseExpired:
--- a/src/controller/causes.hpp
+++ b/src/controller/causes.hpp
@@ -74,6 +74,15 @@
 /// Why no tasks are placed on a machine for some time.
 enum class QuarantineCause : std::uint8_t { ReceivesNothing, StartsNotAcknowledged, TaskErrors };
 
+/// Why a scheduling pass reserves room for a task that it doesn't place.
+enum class ReservationCause : std::uint8_t {
+  FetchLimit,            // the machine fetches as many images as allowed
+  ImageHolderPreempted,  // tasks are stopped on a machine that holds the image
+  ImageHolderMigrated,   // replicas leave a machine that holds the image
+  Preempted,             // tasks are stopped because no machine has room
+  GangStarved,           // machines are held for a gang that has waited for long
+};
+
 /// Why all attempts of a machine's incarnation are known to have ended.
 enum class IncarnationLossCause : std::uint8_t { LeaseExpired, NewIncarnation, Terminated };
 
@@ -86,6 +95,7 @@
 std::string_view to_string(TerminationCause cause);
 std::string_view to_string(CordonCause cause);
 std::string_view to_string(QuarantineCause cause);
+std::string_view to_string(ReservationCause cause);
 std::string_view to_string(IncarnationLossCause cause);
 std::string_view to_string(ExitCause cause);
 
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -274,7 +274,7 @@
   bool place_job(Job& job);
   bool task_due(Job& job, std::uint32_t index);
   std::optional<std::uint32_t> place_tasks(Job& job, bool one_by_one);
-  bool make_room_at_image_holder(const Job& job, const Machine& machine);
+  bool make_room_at_image_holder(Job& job, const Machine& machine);
   void bind(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt);
   void drop_unsent_of_job(Job& job);
   void record_unmet_demand(Job& job, const TeamQuota& team, std::uint32_t tasks,
@@ -317,6 +317,7 @@
   /// rankings rate it again.
   void machine_changed(Machine& machine) { machines_changed_.push_back(&machine); }
   void reserve(Machine& machine, const Resources& room);
+  void reserve_for(Job& job, Machine& machine, const Resources& room, ReservationCause cause);
   void unreserve(Machine& machine, const Resources& room);
   /// Returns the best machine for one more task of the job, or null if none has room.
   Machine* best_machine(const Job& job, bool may_queue_fetch);
@@ -363,7 +364,7 @@
   [[nodiscard]] GangZones gang_zones(const Job& job) const;
   void make_room_for_gang(Job& job, const GangPlan& plan, const std::vector<Machine*>& machines);
   [[nodiscard]] Time starvation_timeout() const;
-  bool reserve_machines_for_gang(const Job& job, std::uint32_t missing, const std::string& zone);
+  bool reserve_machines_for_gang(Job& job, std::uint32_t missing, const std::string& zone);
   /// After this multiple of its type's boot time, a booting machine no longer counts as supply.
   static constexpr double kLateBootFactor = 1.3;
   [[nodiscard]] std::string zone_to_scale_out_in(const Job& job, const std::string& best) const;
@@ -375,8 +376,8 @@
   /// Reserves room for one more task of the job, preempting others if needed. `warm_only` restricts
   /// this to machines that hold the job's image, `zone` to machines of that zone. False if no
   /// machine qualifies.
-  bool preempt_for(const Job& job, bool warm_only = false, const std::string& zone = {});
-  bool preempt_on_best_machine(const Job& job, bool warm_only, const std::string& zone);
+  bool preempt_for(Job& job, bool warm_only = false, const std::string& zone = {});
+  bool preempt_on_best_machine(Job& job, bool warm_only, const std::string& zone);
   /// The tasks to preempt on a machine, and the total cost of preempting them.
   struct PreemptionPlan {
     std::vector<TaskAttempt*> victims;
@@ -387,7 +388,7 @@
                                              const std::string& zone);
   static bool preempted_before(const TaskAttempt* first, const TaskAttempt* second);
   [[nodiscard]] double preemption_cost(const TaskAttempt& attempt) const;
-  bool migrate_for(const Job& job);
+  bool migrate_for(Job& job);
   [[nodiscard]] bool migratable(const TaskAttempt& attempt) const;
   /// A replica to be migrated, and the machine that takes it.
   struct PlannedMigration {
--- a/src/controller/gang_scheduling.cpp
+++ b/src/controller/gang_scheduling.cpp
@@ -256,7 +256,7 @@
 // tasks take each part of a machine as it becomes free, and a gang that needs whole machines never
 // starts. Returns false and reserves nothing if the machines that are up can't hold all missing
 // tasks; other jobs then use the room.
-bool Controller::reserve_machines_for_gang(const Job& job, std::uint32_t missing,
+bool Controller::reserve_machines_for_gang(Job& job, std::uint32_t missing,
                                            const std::string& zone) {
   struct Candidate {
     Machine* machine;
@@ -285,7 +285,7 @@
   if (slots < missing) return false;
   for (const Candidate& candidate : candidates) {
     if (missing == 0) break;
-    reserve(*candidate.machine, candidate.room);
+    reserve_for(job, *candidate.machine, candidate.room, ReservationCause::GangStarved);
     missing -= std::min(missing, candidate.slots);
   }
   return true;
--- a/src/controller/log_line.cpp
+++ b/src/controller/log_line.cpp
@@ -111,6 +111,8 @@
       return "no_capacity";
     case LogEvent::UnmetDemand:
       return "unmet_demand";
+    case LogEvent::RoomReserved:
+      return "room_reserved";
     case LogEvent::CapacityLimit:
       return "capacity_limit";
     case LogEvent::ProcessorLimit:
--- a/src/controller/log_line.hpp
+++ b/src/controller/log_line.hpp
@@ -64,6 +64,7 @@
   ScaleOut,
   NoCapacity,
   UnmetDemand,
+  RoomReserved,
   CapacityLimit,
   ProcessorLimit,
 };
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -54,6 +54,28 @@
   machine_changed(machine);
 }
 
+// Reserves room for a task of the job that this pass doesn't place. If passes have done so for
+// longer than a worker's lease without placing a task of the job, logs it: room that stays reserved
+// and unused looks like free room otherwise.
+void Controller::reserve_for(Job& job, Machine& machine, const Resources& room,
+                             ReservationCause cause) {
+  ReservationHistory& history = job.reservations;
+  if (clock_.now - history.latest > worker_lease()) history = {clock_.now, clock_.now, 0};
+  history.latest = clock_.now;
+  if (clock_.now - history.since >= worker_lease() &&
+      clock_.now - history.logged >= worker_lease()) {
+    history.logged = clock_.now;
+    const bool is_free = room.fits_in(unreserved_room(reservations_, machine));
+    outbox_.log(Log::Level::Info, LogEvent::RoomReserved,
+                {{"machine", machine.name},
+                 {"job", job.spec().id},
+                 {"cause", cause},
+                 {"for_ms", clock_.now - history.since},
+                 {"free", is_free ? 1 : 0}});
+  }
+  reserve(machine, room);
+}
+
 void Controller::unreserve(Machine& machine, const Resources& room) {
   reservations_[&machine] -= room;
   machine_changed(machine);
@@ -269,7 +291,7 @@
       // for the task, and the task isn't counted as unmet demand, so no instance is added for it.
       Machine* fetching_machine = best_machine(job, true);
       if (fetching_machine == nullptr) return job.queued - waiting;
-      reserve(*fetching_machine, job.spec().need);
+      reserve_for(job, *fetching_machine, job.spec().need, ReservationCause::FetchLimit);
       ++waiting;
       continue;
     }
@@ -282,7 +304,7 @@
 // If fetching the image on `machine` would violate an SLO, tries to make room for the task on a
 // machine that holds the image: by preemption for the `wait` SLO, otherwise by migrating replicas.
 // Returns true if room is reserved there.
-bool Controller::make_room_at_image_holder(const Job& job, const Machine& machine) {
+bool Controller::make_room_at_image_holder(Job& job, const Machine& machine) {
   const bool violates_wait = fetch_violates_slo(job, machine, "wait");
   if (violates_wait && preempt_for(job, true)) return true;
   const bool violates_guarantee = job.guaranteed && fetch_violates_slo(job, machine, "guarantee");
@@ -295,6 +317,7 @@
   machine_changed(machine);
   machine.idle_since = 0;
   job.unmet_since = 0;
+  job.reservations = {};
   if (job.record.started > index) return;
   job.record.started = index + 1;
   checkpoint_.mark_changed(job);
--- a/src/controller/preemption.cpp
+++ b/src/controller/preemption.cpp
@@ -95,7 +95,7 @@
 
 // Reserves room for one more task of the job on some machine, preempting other tasks there if
 // needed. Returns false if no machine can provide the room.
-bool Controller::preempt_for(const Job& job, bool warm_only, const std::string& zone) {
+bool Controller::preempt_for(Job& job, bool warm_only, const std::string& zone) {
   const JobSpec& spec = job.spec();
   const ResourceRequest want = resource_request_of(spec);
   // If preemption has failed in this pass for a job of the same team and priority that needs no
@@ -131,7 +131,7 @@
                                   max_rankings(), machines_changed_, rate);
 }
 
-bool Controller::preempt_on_best_machine(const Job& job, bool warm_only, const std::string& zone) {
+bool Controller::preempt_on_best_machine(Job& job, bool warm_only, const std::string& zone) {
   MachineRanking<double>& ranking = preemption_ranking(job, warm_only, zone);
   const auto zone_open = [&](const std::string& other) {
     return (zone.empty() || other == zone) && tables_.zone_accepts_task(job, other);
@@ -148,7 +148,8 @@
     // preempted also depends on the teams' usage.
     if (!plan) ranking.update(*index);
   }
-  reserve(*best, job.spec().need);
+  reserve_for(job, *best, job.spec().need,
+              warm_only ? ReservationCause::ImageHolderPreempted : ReservationCause::Preempted);
   for (TaskAttempt* attempt : plan->victims) {
     outbox_.log(Log::Level::Info, LogEvent::TaskPreempted,
                 {{"machine", best->name}, {"task", attempt->key}, {"for", job.spec().id}});
@@ -269,7 +270,7 @@
 // important, by migrating replicas from there to other machines that hold the replicas' images. A
 // migration takes a second or two, while fetching an image takes half a minute. Returns false if no
 // machine can provide the room.
-bool Controller::migrate_for(const Job& job) {
+bool Controller::migrate_for(Job& job) {
   const JobSpec& spec = job.spec();
   const ResourceRequest want = resource_request_of(spec);
   for (const FailedMigration& failed : no_migration_for_)
@@ -290,7 +291,7 @@
     if (!spec.spread && !spec.one_zone) no_migration_for_.push_back({want, spec.image});
     return false;
   }
-  reserve(*best, spec.need);
+  reserve_for(job, *best, spec.need, ReservationCause::ImageHolderMigrated);
   for (const auto& [attempt, to] : best_plan) {
     outbox_.log(
         Log::Level::Info, LogEvent::ReplicaMigration,
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -46,6 +46,14 @@
   std::string zone;
 };
 
+/// For how long scheduling passes have reserved room for tasks of a job without placing one. Times
+/// are 0 if there is none.
+struct ReservationHistory {
+  Time since = 0;   // when the first of these passes ran
+  Time latest = 0;  // when the latest of them ran
+  Time logged = 0;  // when a reservation was last logged
+};
+
 /// A job with its tasks. Owned by Tables; `team` is null if the settings do not name the team.
 struct Job {
   JobRecord record;
@@ -79,6 +87,7 @@
   std::uint32_t errors = 0;              // attempts that failed
   bool known_to_run = false;  // a task has completed, or has run for several heartbeat intervals
   Time not_before = 0;        // no task of the job is placed before this time
+  ReservationHistory reservations;
   /// Since when tasks of the job have found no room without one being placed; 0: none waits so.
   Time unmet_since = 0;
 
