Scheduling: log a reservation when it begins, too

The line waited until passes had reserved for a whole lease. Now the first pass logs it as well (debug), so that the log tells a wait in which passes repeat the reservation from one in which no pass runs. A pass that reserves nothing for a job ends the count for it.

No decision changes.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -611,6 +611,7 @@
   /// Room that the current pass has reserved on machines for migrating replicas and for tasks that
   /// will be placed there later.
   Reservations reservations_;
+  bool reserved_for_job_ = false;  // the current pass has reserved room for the job it examines
   /// Requests for which the current pass has found no room. Room only shrinks within a pass; where
   /// it grows, the lists of failures are cleared.
   std::vector<ResourceRequest> no_room_for_;
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -54,19 +54,18 @@
   machine_changed(machine);
 }
 
-// Reserves room for a task of the job that this pass doesn't place. If passes have done so for
-// longer than a worker's lease without placing a task of the job, logs it: room that stays reserved
-// and unused looks like free room otherwise.
+// Reserves room for a task of the job that this pass doesn't place, and logs it, at most once in a
+// worker's lease for each job: room that stays reserved and unused looks like free room otherwise.
 void Controller::reserve_for(Job& job, Machine& machine, const Resources& room,
                              ReservationCause cause) {
+  reserved_for_job_ = true;
   ReservationHistory& history = job.reservations;
-  if (clock_.now - history.latest > worker_lease()) history = {clock_.now, clock_.now, 0};
-  history.latest = clock_.now;
-  if (clock_.now - history.since >= worker_lease() &&
-      clock_.now - history.logged >= worker_lease()) {
+  if (history.since == 0) history.since = clock_.now;
+  if (history.logged == 0 || clock_.now - history.logged >= worker_lease()) {
     history.logged = clock_.now;
+    const bool lasts = clock_.now - history.since >= worker_lease();
     const bool is_free = room.fits_in(unreserved_room(reservations_, machine));
-    outbox_.log(Log::Level::Info, LogEvent::RoomReserved,
+    outbox_.log(lasts ? Log::Level::Info : Log::Level::Debug, LogEvent::RoomReserved,
                 {{"machine", machine.name},
                  {"job", job.spec().id},
                  {"cause", cause},
@@ -133,6 +132,7 @@
       job->guaranteed = job->team->within_guarantee(total);
     }
     // A job is not queued if its team is no longer in the settings.
+    if (job->queued == 0) job->reservations = {};
     if (job->team == nullptr || job->queued == 0) continue;
     if (job->not_before > clock_.now)
       scheduling_needed_ = true;  // a later pass examines the job again
@@ -194,7 +194,9 @@
       Job* job = next->second.back();
       next->second.pop_back();
       if (next->second.empty()) queues.erase(next);
+      reserved_for_job_ = false;
       place_job(*job);
+      if (!reserved_for_job_) job->reservations = {};
     }
   }
   end_rankings();
@@ -317,7 +319,6 @@
   machine_changed(machine);
   machine.idle_since = 0;
   job.unmet_since = 0;
-  job.reservations = {};
   if (job.record.started > index) return;
   job.record.started = index + 1;
   checkpoint_.mark_changed(job);
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -46,11 +46,10 @@
   std::string zone;
 };
 
-/// For how long scheduling passes have reserved room for tasks of a job without placing one. Times
-/// are 0 if there is none.
+/// For how long successive scheduling passes have reserved room for tasks of a job without placing
+/// them. Both times are 0 if the latest pass reserved nothing for the job.
 struct ReservationHistory {
   Time since = 0;   // when the first of these passes ran
-  Time latest = 0;  // when the latest of them ran
   Time logged = 0;  // when a reservation was last logged
 };
 
