Placement: a task starts beside its image, or is started elsewhere

Without any failure, work that may use spot machines waited beside an on-demand machine with its image and room, and beside a spot machine.

Cause: where a fetch would violate an objective, a pass looks for room at a machine that holds the image. Preemption and migration also found room that was free already, reserved it, and left the task out of this pass. But the ranking didn't choose that machine in the next pass either: it prefers machines on which the job hasn't failed, and spot machines for spot work. A reservation that stops nothing also changes nothing, so hardly any further pass ran.

Change: free room on an on-demand machine with the image is used at once. On machines where the job has failed, no room is sought for the sake of the image, and nothing is stopped or moved there in vain. Waiting for room to be made is given up after as long as the fetch takes, and passes go on meanwhile.

--- a/sim/simulated_region.hpp
+++ b/sim/simulated_region.hpp
@@ -138,6 +138,8 @@
   void preempt_machine(const std::string& name, Time in_ms);
   /// Makes every task that runs on the machine fail.
   void make_faulty(const std::string& machine) { faulty_machines_.insert(machine); }
+  /// Makes the task fail once, where it runs now or else runs next; has no effect on gangs.
+  void fail_once(const TaskKey& key) { failing_once_.insert(task_name(key)); }
 
   // --- Users ---
 
@@ -477,6 +479,7 @@
   Time poll_intensively_until_ = 0;
   std::vector<std::string> kept_heartbeats_;
   std::set<std::string> failing_jobs_, faulty_machines_;
+  std::set<std::string> failing_once_;  // names of tasks
   std::map<GangAttempt, GangRun> gang_runs_;
   std::map<std::string, GangProgress> gang_progress_;
   std::uint64_t kept_heartbeats_epoch_ = 0;
--- a/sim/workers.cpp
+++ b/sim/workers.cpp
@@ -71,9 +71,11 @@
   const User* user = user_of(status.key.job);
   if (is_gang(user)) return advance_gang(worker, task, *user);
   if (status.state == RunState::Fetching && now_ >= task.image_ready_at) begin_task(worker, task);
-  const bool fails =
-      failing_jobs_.contains(status.key.job) || faulty_machines_.contains(worker.machine.name);
+  const bool fails = failing_jobs_.contains(status.key.job) ||
+                     faulty_machines_.contains(worker.machine.name) ||
+                     failing_once_.contains(task_name(status.key));
   if (status.state == RunState::Running && now_ >= task.image_ready_at + 300 && fails) {
+    failing_once_.erase(task_name(status.key));
     end_task(worker, task, ExitCause::Error);
   } else if (status.state == RunState::Running && task.completes_at > 0 &&
              now_ >= task.completes_at) {
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -274,6 +274,8 @@
   bool place_job(Job& job);
   bool task_due(Job& job, std::uint32_t index);
   std::optional<std::uint32_t> place_tasks(Job& job, bool one_by_one);
+  Machine* image_holder_with_room(const Job& job, const Machine& machine);
+  [[nodiscard]] bool may_run_beside_image(const Job& job, const Machine& holder) const;
   bool make_room_at_image_holder(Job& job, const Machine& machine);
   void bind(Job& job, std::uint32_t index, Machine& machine, std::uint64_t attempt);
   void drop_unsent_of_job(Job& job);
@@ -281,6 +283,7 @@
                            const std::string& zone);
   [[nodiscard]] bool fetch_violates_slo(const Job& job, const Machine& machine,
                                         const char* slo) const;
+  [[nodiscard]] bool fetch_violates_any_slo(const Job& job, const Machine& machine) const;
   std::uint64_t new_attempt_number();
   /// How well a machine suits a task: compared lexicographically, most important criterion first;
   /// lower is better.
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -15,6 +15,9 @@
 constexpr double kRankingMemoryShare = 0.1;
 /// The estimated size of a ranking, in bytes per ranked machine.
 constexpr double kRankingBytesPerMachine = 128;
+/// The kinds of service-level objectives that the fetch of an image may violate.
+constexpr const char* kWaitSlo = "wait";
+constexpr const char* kGuaranteeSlo = "guarantee";
 /// This many rankings are kept even if they exceed the share of the memory.
 constexpr double kMinRankings = 4;
 }  // namespace
@@ -284,9 +287,13 @@
     if (job.team == nullptr || !job.team->allows(job.spec().need)) return {};
     Machine* machine = take_migration_target(job, i);
     if (machine == nullptr) machine = best_machine(job, false);
-    if (machine != nullptr && make_room_at_image_holder(job, *machine)) {
-      ++waiting;
-      continue;
+    if (machine != nullptr && fetch_violates_any_slo(job, *machine)) {
+      Machine* holder = image_holder_with_room(job, *machine);
+      if (holder == nullptr && make_room_at_image_holder(job, *machine)) {
+        ++waiting;
+        continue;
+      }
+      if (holder != nullptr) machine = holder;
     }
     if (machine == nullptr) {
       // A machine with room may already be fetching as many images as allowed. Its room is reserved
@@ -303,14 +310,48 @@
   return 0;
 }
 
-// If fetching the image on `machine` would violate an SLO, tries to make room for the task on a
-// machine that holds the image: by preemption for the `wait` SLO, otherwise by migrating replicas.
-// Returns true if room is reserved there.
+// Returns a machine that holds the job's image and has room for a task, although the ranking
+// prefers `machine`, which doesn't hold it; null if there is none. Such a machine is an on-demand
+// instance beside a spot instance, or one on which the job has failed. The latter is left out.
+Machine* Controller::image_holder_with_room(const Job& job, const Machine& machine) {
+  const JobSpec& spec = job.spec();
+  if (!spec.spot || !machine.spot) return nullptr;
+  const auto holders = image_holders().find(spec.image);
+  if (holders == image_holders().end()) return nullptr;
+  Machine* best = nullptr;
+  BinPackingScore best_score{};
+  for (Machine* holder : holders->second) {
+    ++examined_;
+    if (!holder->placement_index || !may_run_beside_image(job, *holder)) continue;
+    const MachineRating<BinPackingScore> rating = bin_packing_score(spec, *holder, false);
+    if (!rating.score) continue;
+    const BinPackingScore score = score_for_job(job, *holder, *rating.score);
+    if (best != nullptr && !(score < best_score)) continue;
+    best = holder;
+    best_score = score;
+  }
+  return best;
+}
+
+// True if a task of the job should rather run on the machine, which holds its image, than fetch the
+// image elsewhere. Where the job has failed it would only fail again, if the machine is faulty.
+bool Controller::may_run_beside_image(const Job& job, const Machine& holder) const {
+  return accepts_new_tasks(holder) && tables_.allowed(job, holder) &&
+         !job.error_machines.contains(holder.name);
+}
+
+// Tries to make room for a task on a machine that holds the job's image, because fetching it on
+// `machine` would violate an SLO: by preemption for the `wait` SLO, otherwise by migrating
+// replicas. Returns true if room is reserved there. Returns false once the job has waited for such
+// room for as long as the fetch takes: the tasks that make room may stop late or not at all.
 bool Controller::make_room_at_image_holder(Job& job, const Machine& machine) {
-  const bool violates_wait = fetch_violates_slo(job, machine, "wait");
-  if (violates_wait && preempt_for(job, true)) return true;
-  const bool violates_guarantee = job.guaranteed && fetch_violates_slo(job, machine, "guarantee");
-  return (violates_wait || violates_guarantee) && migrate_for(job);
+  const Time waited = job.reservations.since == 0 ? 0 : clock_.now - job.reservations.since;
+  if (waited >= ms(fetch_s(job, machine))) return false;
+  const bool violates_wait = fetch_violates_slo(job, machine, kWaitSlo);
+  const bool made_room = (violates_wait && preempt_for(job, true)) || migrate_for(job);
+  // Only a later pass sees that the wait has become too long.
+  scheduling_needed_ = scheduling_needed_ || made_room;
+  return made_room;
 }
 
 // Places a task on a machine. The start is sent in the response to the machine's next heartbeat.
@@ -366,6 +407,12 @@
   return false;
 }
 
+// The same for all kinds of objectives that apply to the job.
+bool Controller::fetch_violates_any_slo(const Job& job, const Machine& machine) const {
+  return fetch_violates_slo(job, machine, kWaitSlo) ||
+         (job.guaranteed && fetch_violates_slo(job, machine, kGuaranteeSlo));
+}
+
 // Removes the job's attempts whose start has not been sent yet; their tasks are queued again.
 void Controller::drop_unsent_of_job(Job& job) {
   for (const Task& task : job.tasks) {
--- a/src/controller/preemption.cpp
+++ b/src/controller/preemption.cpp
@@ -1,5 +1,7 @@
 // Stops tasks: to preempt them for more important tasks, to migrate replicas, or because their job
 // is cancelled.
+#include <limits>
+
 #include "controller/controller.hpp"
 #include "protocol/worker_codec.hpp"
 
@@ -107,8 +109,9 @@
         want.needs_at_least(failed.want))
       return false;
   if (preempt_on_best_machine(job, warm_only, zone)) return true;
-  // If the zones of a job's own tasks restrict it, its failure doesn't imply that other jobs fail.
-  if (!spec.spread && !spec.one_zone)
+  // If the zones of a job's own tasks, or the machines on which it has failed, restrict it, its
+  // failure doesn't imply that other jobs fail.
+  if (!spec.spread && !spec.one_zone && job.error_machines.empty())
     no_preemption_for_.push_back(
         {want, spec.priority, job.team, job.guaranteed, warm_only ? spec.image : std::string()});
   return false;
@@ -136,12 +139,19 @@
   const auto zone_open = [&](const std::string& other) {
     return (zone.empty() || other == zone) && tables_.zone_accepts_task(job, other);
   };
-  const auto own_score = [](std::size_t, double kind_score) { return kind_score; };
+  // Where the job has failed, tasks are stopped for it only if no other machine can provide room,
+  // and not at all if the task could fetch its image elsewhere.
+  const auto has_failed_on = [&](std::size_t index) {
+    return job.error_machines.contains(preemption_rankings_.machines()[index]->name);
+  };
+  const auto own_score = [&](std::size_t index, double kind_score) {
+    return has_failed_on(index) ? std::numeric_limits<double>::infinity() : kind_score;
+  };
   Machine* best = nullptr;
   std::optional<PreemptionPlan> plan;
   while (!plan) {
     const std::optional<std::size_t> index = ranking.best(zone_open, own_score);
-    if (!index) return false;
+    if (!index || (warm_only && has_failed_on(*index))) return false;
     best = preemption_rankings_.machines()[*index];
     plan = preemption_plan_on(*best, job);
     // The machine's rating may be outdated although the machine hasn't changed: which tasks may be
@@ -281,14 +291,15 @@
   if (holders == image_holders().end()) return false;
   for (Machine* machine : holders->second) {
     ++examined_;
-    if (!accepts_new_tasks(*machine) || !tables_.allowed(job, *machine)) continue;
+    if (!may_run_beside_image(job, *machine)) continue;
     std::optional<std::vector<PlannedMigration>> plan = plan_migrations(*machine, job);
     if (!plan || (best != nullptr && plan->size() >= best_plan.size())) continue;
     best = machine;
     best_plan = std::move(*plan);
   }
   if (best == nullptr) {
-    if (!spec.spread && !spec.one_zone) no_migration_for_.push_back({want, spec.image});
+    if (!spec.spread && !spec.one_zone && job.error_machines.empty())
+      no_migration_for_.push_back({want, spec.image});
     return false;
   }
   reserve_for(job, *best, spec.need, ReservationCause::ImageHolderMigrated);
