Placement: a pass reserves room only in zones that its job can use

What callers saw: a spread gang never started although tasks of lower priority could be stopped for it; for a spread service, or one bound to a single zone, tasks were stopped in vain.

Cause: the zones of a job's tasks were checked against tasks that are placed, not against those for which the same pass had reserved room. For a spread gang, room left in a zone that may take no more of its tasks counted as room made for it, so nothing was stopped in the other zone. For a spread service, tasks were stopped for both replicas in one zone, which may take only one of them; for a service of one zone, in two zones.

Change: reservations of a pass count like placed tasks where zones restrict a job.

Measured: the three new tests failed before (gang: not placed after 10 s, 0 tasks stopped; spread service: 3 tasks stopped in place of 2; one zone: 1 stopped in each zone) and pass now.

--- a/src/controller/gang_scheduling.cpp
+++ b/src/controller/gang_scheduling.cpp
@@ -236,6 +236,7 @@
     if (plan.tasks_per_candidate[i] > 0) {
       reserved.emplace_back(machines[i], job.spec().need.times(plan.tasks_per_candidate[i]));
       reserve(*machines[i], reserved.back().second);
+      job.reserved_per_zone[machines[i]->zone] += plan.tasks_per_candidate[i];
     }
   while (preempted < plan.missing && preempt_for(job, false, zone)) ++preempted;
   const bool starved = clock_.now - job.accepted > starvation_timeout();
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -76,6 +76,7 @@
                  {"free", is_free ? 1 : 0}});
   }
   reserve(machine, room);
+  ++job.reserved_per_zone[machine.zone];
 }
 
 void Controller::unreserve(Machine& machine, const Resources& room) {
@@ -200,6 +201,7 @@
       reserved_for_job_ = false;
       place_job(*job);
       if (!reserved_for_job_) job->reservations = {};
+      job->reserved_per_zone.clear();
     }
   }
   end_rankings();
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -65,6 +65,18 @@
                      [&](const OrphanedAttempt& orphan) { return orphan.zone == zone; });
 }
 
+bool Job::reserves_only_in(const std::string& zone) const {
+  return std::all_of(reserved_per_zone.begin(), reserved_per_zone.end(),
+                     [&](const auto& tasks) { return tasks.first == zone; });
+}
+
+std::uint32_t Job::remaining_in(const std::string& zone) const {
+  const auto reserved = reserved_per_zone.find(zone);
+  const std::uint32_t counted =
+      tasks_in(zone) + (reserved == reserved_per_zone.end() ? 0 : reserved->second);
+  return zone_cap() - std::min(zone_cap(), counted);
+}
+
 std::uint32_t Job::tasks_in(const std::string& zone) const {
   const auto placed_there = per_zone.find(zone);
   const auto orphans_there =
@@ -332,8 +344,8 @@
   // Delayed heartbeats can make tasks of a one-zone job known in two zones. No zone accepts further
   // tasks of the job until all its known tasks are in the same zone; otherwise tasks could be
   // placed in either zone.
-  if (spec.one_zone && !job.confined_to(zone)) return false;
-  return !spec.spread || job.tasks_in(zone) < job.zone_cap();
+  if (spec.one_zone && !(job.confined_to(zone) && job.reserves_only_in(zone))) return false;
+  return !spec.spread || job.remaining_in(zone) > 0;
 }
 
 bool Tables::zone_allowed(const Job& job, const std::string& zone) {
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -79,6 +79,8 @@
   std::uint32_t queued = 0, unknown = 0, placed = 0, running = 0;
   std::uint32_t next_queued = 0;                  // no task with a lower index is queued
   std::map<std::string, std::uint32_t> per_zone;  // placed tasks by zone
+  /// Tasks for which the scheduling pass that examines the job now has reserved room, by zone.
+  std::map<std::string, std::uint32_t> reserved_per_zone;
   std::vector<OrphanedAttempt> orphans;
   /// Names of machines that have, or had, an attempt of one of the job's tasks.
   std::set<std::string> machines_used;
@@ -104,6 +106,8 @@
   [[nodiscard]] bool likely_invalid() const { return !known_to_run && error_machines.size() > 1; }
   /// True if no task or orphaned attempt of the job is known outside the zone.
   [[nodiscard]] bool confined_to(const std::string& zone) const;
+  /// True if no room is reserved for a task of the job outside the zone.
+  [[nodiscard]] bool reserves_only_in(const std::string& zone) const;
   /// The number of placed tasks and orphaned attempts of the job that are known in the zone.
   [[nodiscard]] std::uint32_t tasks_in(const std::string& zone) const;
   /// True if an orphaned attempt of the task may still be on a machine.
@@ -112,6 +116,8 @@
   [[nodiscard]] std::uint32_t zone_cap() const {
     return spec().spread ? (spec().tasks + 1) / 2 : spec().tasks;
   }
+  /// How many more tasks may be placed in the zone, beside those that are known or reserved there.
+  [[nodiscard]] std::uint32_t remaining_in(const std::string& zone) const;
 };
 
 /// The summary of a job that has ended.
@@ -296,7 +302,8 @@
   [[nodiscard]] bool allowed(const Job& job, const Machine& machine) const;
   /// The part of `allowed` that is independent of the job's other tasks.
   [[nodiscard]] bool meets_constraints(const JobSpec& spec, const Machine& machine) const;
-  /// The part of `allowed` that depends on the job's other tasks.
+  /// The part of `allowed` that depends on the job's other tasks, also on those for which only room
+  /// is reserved.
   [[nodiscard]] static bool zone_accepts_task(const Job& job, const std::string& zone);
   /// True if the job's zone constraints allow the tasks that it is known to have in the zone.
   [[nodiscard]] static bool zone_allowed(const Job& job, const std::string& zone);
--- a/tests/reserved_room_test.cpp
+++ b/tests/reserved_room_test.cpp
@@ -175,6 +175,68 @@
   EXPECT_NE(lines[1].find(expected + "10"), std::string::npos) << lines[1];
 }
 
+/// An array of one-GPU tasks of the lowest priority that runs for long and is bound to a zone.
+JobSpec low_priority_job(const std::string& id, std::uint32_t tasks, const std::string& zone) {
+  constexpr double kRunS = 600;
+  JobSpec spec = array_job(id, tasks, kRunS);
+  spec.team = "guest";
+  spec.image_gb = 1;
+  spec.zone = zone;
+  spec.spot = false;
+  return spec;
+}
+
+// Guards against stopping tasks for two replicas of a spread service in a zone that may take only
+// one of them.
+TEST_F(ReservedRoomTest, ForASpreadServiceNoMoreIsStoppedInAZoneThanItMayTake) {
+  fleet_.add("w-1", "za");
+  submit_and_start(low_priority_job("job-2", 8, "za"), "w-1");
+  fleet_.add("w-2", "zb");
+  submit_and_start(low_priority_job("job-3", 8, "zb"), "w-2");
+
+  JobSpec spread = service_job("job-1", 2);
+  spread.spread = true;
+  submit(spread);
+  fleet_.run_for_s(10);
+  EXPECT_EQ(fleet_.machines_of("job-1"), (Machines{"w-1", "w-2"}));
+  EXPECT_EQ(fleet_.stops_of("job-2"), 1U);
+  EXPECT_EQ(fleet_.stops_of("job-3"), 1U);
+}
+
+// Guards against stopping a task in another zone for a service that has to run in one zone.
+TEST_F(ReservedRoomTest, ForAServiceOfOneZoneNothingIsStoppedInAnother) {
+  fleet_.add("w-2", "zb");
+  submit_and_start(low_priority_job("job-3", 8, "zb"), "w-2");
+  fleet_.add("w-1", "za");
+  JobSpec replicas = keeper_job("job-4", "za");
+  replicas.tasks = 7;
+  submit_and_start(replicas, "w-1");
+  submit_and_start(low_priority_job("job-2", 1, "za"), "w-1");  // costs least to stop
+
+  JobSpec together = service_job("job-1", 2);
+  together.one_zone = true;
+  submit(together);
+  fleet_.run_for_s(10);
+  const std::size_t in_za = fleet_.stops_of("job-2"), in_zb = fleet_.stops_of("job-3");
+  EXPECT_TRUE(in_za == 0 || in_zb == 0) << in_za << " in za and " << in_zb << " in zb";
+}
+
+// Guards against a spread gang that waits for ever: room in a zone that may take no more of its
+// tasks was reserved in place of stopping tasks in the other zone.
+TEST_F(ReservedRoomTest, ForASpreadGangTasksAreStoppedInTheZoneThatLacksRoom) {
+  fleet_.add("w-1", "za");
+  submit_and_start(keeper_job("job-2", "za"), "w-1");
+  fleet_.add("w-2", "zb");
+  submit_and_start(low_priority_job("job-3", 8, "zb"), "w-2");
+
+  JobSpec gang = gang_job("job-1", 4, 2, 60);
+  gang.spread = true;
+  submit(gang);
+  fleet_.run_for_s(10);
+  EXPECT_EQ(fleet_.machines_of("job-1"), (Machines{"w-1", "w-1", "w-2", "w-2"}));
+  EXPECT_EQ(fleet_.stops_of("job-3"), 2U);
+}
+
 // --- The whole region ---
 
 /// A plan without faults with the objectives above, in which each machine boots within seconds.
