Gangs: nothing is preempted unless that makes room for all missing tasks

What callers saw: tasks of lower priority were stopped again and again, losing their work, for a gang that didn't start.

Cause: tasks were stopped for each missing task of a gang for which that was possible, even if it was possible for some only. The gang can't use the room of some. It went back to the tasks that were stopped, or to others, and the next passes stopped them again.

Change: a pass first adds up the room that machines would have without the tasks that may be preempted, within the gang's zones, and preempts only if that is enough.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -367,6 +367,19 @@
   [[nodiscard]] GangZones gang_zones(const Job& job) const;
   void make_room_for_gang(Job& job, const GangPlan& plan, const std::vector<Machine*>& machines);
   [[nodiscard]] Time starvation_timeout() const;
+  /// A machine that will have room for `slots` tasks of a gang, and its present room.
+  struct FutureRoom {
+    Machine* machine = nullptr;
+    Resources room;
+    std::uint32_t slots = 0;
+  };
+  [[nodiscard]] std::vector<FutureRoom> future_rooms(
+      const Job& job, std::uint32_t missing, const std::string& zone,
+      const std::function<bool(const TaskAttempt&)>& will_end) const;
+  [[nodiscard]] static std::optional<std::string> zone_with_room(
+      const Job& job, std::uint32_t missing, const std::string& zone,
+      const std::vector<FutureRoom>& rooms);
+  bool preempt_for_gang(Job& job, std::uint32_t missing, const std::string& zone);
   bool reserve_machines_for_gang(Job& job, std::uint32_t missing, const std::string& zone);
   /// After this multiple of its type's boot time, a booting machine no longer counts as supply.
   static constexpr double kLateBootFactor = 1.3;
--- a/src/controller/gang_scheduling.cpp
+++ b/src/controller/gang_scheduling.cpp
@@ -219,6 +219,9 @@
 // missing tasks; if all tasks have to be in one zone, in the zone where the fewest are missing. If
 // other tasks of the gang are already placed, nothing is preempted or reserved.
 //
+// Nothing is preempted unless that makes room for all missing tasks: the gang couldn't use the room
+// of some, which would go to other tasks, and in the next pass more would be preempted.
+//
 // The room that the plan has found stays reserved against later jobs of this pass if tasks were
 // preempted for the gang, or if the gang has waited for so long that instances launched for it
 // would be up. In the latter case, machines are held for the missing tasks as well. This keeps
@@ -228,7 +231,6 @@
                                     const std::vector<Machine*>& machines) {
   const std::string zone = plan.zone.empty() ? job.spec().zone : plan.zone;
   record_unmet_demand(job, *job.team, plan.missing, zone_to_scale_out_in(job, zone));
-  std::uint32_t preempted = 0;
   if (job.placed > 0) return;
   // The room found is reserved first, so that preemption makes room for the missing tasks.
   std::vector<std::pair<Machine*, Resources>> reserved;
@@ -238,12 +240,65 @@
       reserve(*machines[i], reserved.back().second);
       job.reserved_per_zone[machines[i]->zone] += plan.tasks_per_candidate[i];
     }
-  while (preempted < plan.missing && preempt_for(job, false, zone)) ++preempted;
+  if (preempt_for_gang(job, plan.missing, zone)) return;
   const bool starved = clock_.now - job.accepted > starvation_timeout();
-  if (preempted > 0 || (starved && reserve_machines_for_gang(job, plan.missing, zone))) return;
+  if (starved && reserve_machines_for_gang(job, plan.missing, zone)) return;
   for (const auto& [machine, room] : reserved) unreserve(*machine, room);
 }
 
+// Reserves room for all missing tasks of a gang, preempting others. Returns false and preempts
+// nothing if that can't make room for all of them. An empty `zone` means any zone.
+bool Controller::preempt_for_gang(Job& job, std::uint32_t missing, const std::string& zone) {
+  const auto is_stopping_or_preemptible = [&](const TaskAttempt& attempt) {
+    return attempt.held && (attempt.stop || attempt.migrating || may_preempt(job, attempt));
+  };
+  const std::vector<FutureRoom> rooms =
+      future_rooms(job, missing, zone, is_stopping_or_preemptible);
+  const std::optional<std::string> chosen = zone_with_room(job, missing, zone, rooms);
+  if (!chosen) return false;
+  std::uint32_t made = 0;
+  while (made < missing && preempt_for(job, false, *chosen)) ++made;
+  return made > 0;
+}
+
+// The machines that will have room for missing tasks of the job once the attempts that
+// `will_end` selects have ended. An empty `zone` means any zone.
+std::vector<Controller::FutureRoom> Controller::future_rooms(
+    const Job& job, std::uint32_t missing, const std::string& zone,
+    const std::function<bool(const TaskAttempt&)>& will_end) const {
+  std::vector<FutureRoom> rooms;
+  for (const auto& [name, machine] : tables_.machines) {
+    ++examined_;
+    if (!accepts_new_tasks(*machine) || !tables_.allowed(job, *machine) ||
+        (!zone.empty() && machine->zone != zone))
+      continue;
+    const Resources room = unreserved_room(reservations_, *machine);
+    Resources future_room = room;
+    for (const TaskAttempt& attempt : machine->attempts)
+      if (will_end(attempt)) future_room += attempt.need;
+    const std::uint32_t slots = capped_task_slots(future_room, job.spec().need, missing);
+    if (slots > 0) rooms.push_back({machine.get(), room, slots});
+  }
+  return rooms;
+}
+
+// Returns the zone in which the missing tasks will fit: empty if they may be in several zones or
+// `zone` is empty, and nothing if the rooms don't hold all of them.
+std::optional<std::string> Controller::zone_with_room(const Job& job, std::uint32_t missing,
+                                                      const std::string& zone,
+                                                      const std::vector<FutureRoom>& rooms) {
+  std::map<std::string, std::uint32_t> slots;
+  for (const FutureRoom& room : rooms) slots[room.machine->zone] += room.slots;
+  std::uint32_t usable = 0;
+  for (const auto& [other, count] : slots) {
+    const std::uint32_t usable_there = std::min(count, job.remaining_in(other));
+    if (job.spec().one_zone && usable_there >= missing) return other;
+    usable += usable_there;
+  }
+  if (job.spec().one_zone || usable < missing) return std::nullopt;
+  return zone;
+}
+
 // The time (ms) after which a waiting gang counts as starved. By then, an instance launched for it
 // is up, or none could be launched.
 Time Controller::starvation_timeout() const {
--- a/tests/reserved_room_test.cpp
+++ b/tests/reserved_room_test.cpp
@@ -237,6 +237,24 @@
   EXPECT_EQ(fleet_.stops_of("job-3"), 2U);
 }
 
+// Guards against stopping tasks, again and again, for a gang that doesn't fit even then.
+TEST_F(ReservedRoomTest, NothingIsStoppedForAGangThatDoesNotFitEvenThen) {
+  fleet_.add("w-1", "za");
+  JobSpec half = keeper_job("job-2", "za");
+  half.need = {8, 0, 4};
+  submit_and_start(half, "w-1");
+  JobSpec low = low_priority_job("job-3", 1, "za");
+  low.need = {8, 0, 4};
+  submit_and_start(low, "w-1");
+
+  JobSpec gang = gang_job("job-1", 2, 8, 60);
+  gang.zone = "za";
+  submit(gang);
+  fleet_.run_for_s(10);
+  EXPECT_EQ(fleet_.stops_of("job-3"), 0U);
+  EXPECT_GT(driver_.machines_launched(), 0U) << "a machine is requested for the gang";
+}
+
 // --- The whole region ---
 
 /// A plan without faults with the objectives above, in which each machine boots within seconds.
