Gangs: a starved gang holds machines only where its missing tasks may run

What callers saw: a task waited beside free room that was held for a gang which can't use it.

Cause: for a gang that has waited for long, the free room of machines is held if they will have room for all missing tasks. That sum left out how many tasks a zone may take of a spread gang, and that a gang of one zone can't use the room of several.

Change: the sum is the one that decides on preemption, by zone.

Measured: the new test failed before (a task of one GPU not started beside the held room) and passes now.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -320,7 +320,8 @@
   /// rankings rate it again.
   void machine_changed(Machine& machine) { machines_changed_.push_back(&machine); }
   void reserve(Machine& machine, const Resources& room);
-  void reserve_for(Job& job, Machine& machine, const Resources& room, ReservationCause cause);
+  void reserve_for(Job& job, Machine& machine, const Resources& room, ReservationCause cause,
+                   std::uint32_t tasks = 1);
   void unreserve(Machine& machine, const Resources& room);
   /// Returns the best machine for one more task of the job, or null if none has room.
   Machine* best_machine(const Job& job, bool may_queue_fetch);
--- a/src/controller/gang_scheduling.cpp
+++ b/src/controller/gang_scheduling.cpp
@@ -314,35 +314,22 @@
 // tasks; other jobs then use the room.
 bool Controller::reserve_machines_for_gang(Job& job, std::uint32_t missing,
                                            const std::string& zone) {
-  struct Candidate {
-    Machine* machine;
-    Resources room;
-    std::uint32_t slots;
+  const auto ends_by_itself = [](const TaskAttempt& attempt) {
+    return attempt.held && attempt.job != nullptr && attempt.job->spec().kind != JobKind::Service;
   };
-  std::vector<Candidate> candidates;
-  for (auto& [name, machine] : tables_.machines) {
-    ++examined_;
-    if (!accepts_new_tasks(*machine) || !tables_.allowed(job, *machine) ||
-        (!zone.empty() && machine->zone != zone))
-      continue;
-    const Resources room = unreserved_room(reservations_, *machine);
-    Resources future_room = room;
-    for (const TaskAttempt& attempt : machine->attempts)
-      if (attempt.held && attempt.job != nullptr && attempt.job->spec().kind != JobKind::Service)
-        future_room += attempt.need;
-    const std::uint32_t slots = capped_task_slots(future_room, job.spec().need, missing);
-    if (slots > 0) candidates.push_back({machine.get(), room, slots});
-  }
-  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+  std::vector<FutureRoom> rooms = future_rooms(job, missing, zone, ends_by_itself);
+  const std::optional<std::string> chosen = zone_with_room(job, missing, zone, rooms);
+  if (!chosen) return false;
+  std::stable_sort(rooms.begin(), rooms.end(), [](const auto& a, const auto& b) {
     return std::pair(a.room.gpus, a.room.cpus) > std::pair(b.room.gpus, b.room.cpus);
   });
-  std::uint32_t slots = 0;
-  for (const Candidate& candidate : candidates) slots += candidate.slots;
-  if (slots < missing) return false;
-  for (const Candidate& candidate : candidates) {
-    if (missing == 0) break;
-    reserve_for(job, *candidate.machine, candidate.room, ReservationCause::GangStarved);
-    missing -= std::min(missing, candidate.slots);
+  for (const FutureRoom& candidate : rooms) {
+    const std::string& candidate_zone = candidate.machine->zone;
+    const std::uint32_t tasks =
+        std::min({missing, candidate.slots, job.remaining_in(candidate_zone)});
+    if (tasks == 0 || (!chosen->empty() && candidate_zone != *chosen)) continue;
+    reserve_for(job, *candidate.machine, candidate.room, ReservationCause::GangStarved, tasks);
+    missing -= tasks;
   }
   return true;
 }
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -57,10 +57,10 @@
   machine_changed(machine);
 }
 
-// Reserves room for a task of the job that this pass doesn't place, and logs it, at most once in a
+// Reserves room for tasks of the job that this pass doesn't place, and logs it, at most once in a
 // worker's lease for each job: room that stays reserved and unused looks like free room otherwise.
 void Controller::reserve_for(Job& job, Machine& machine, const Resources& room,
-                             ReservationCause cause) {
+                             ReservationCause cause, std::uint32_t tasks) {
   reserved_for_job_ = true;
   ReservationHistory& history = job.reservations;
   if (history.since == 0) history.since = clock_.now;
@@ -76,7 +76,7 @@
                  {"free", is_free ? 1 : 0}});
   }
   reserve(machine, room);
-  ++job.reserved_per_zone[machine.zone];
+  job.reserved_per_zone[machine.zone] += tasks;
 }
 
 void Controller::unreserve(Machine& machine, const Resources& room) {
--- a/tests/reserved_room_test.cpp
+++ b/tests/reserved_room_test.cpp
@@ -255,6 +255,26 @@
   EXPECT_GT(driver_.machines_launched(), 0U) << "a machine is requested for the gang";
 }
 
+// Guards against holding a machine for a starved gang that can't use it: the machine will have room
+// for all missing tasks, but its zone may take only one of them.
+TEST_F(ReservedRoomTest, NoMachineIsHeldForAStarvedGangInAZoneThatMayTakeNoMoreOfIt) {
+  fleet_.add("w-1", "za");
+  JobSpec array = low_priority_job("job-2", 1, "za");
+  array.need = {12, 0, 4};
+  array.priority = Priority::Normal;
+  submit_and_start(array, "w-1");
+  JobSpec gang = gang_job("job-1", 6, 2, 60);
+  gang.spread = true;
+  submit(gang);
+  constexpr int kStarvedAfterS = 60;
+  fleet_.run_for_s(kStarvedAfterS);
+  ASSERT_TRUE(fleet_.machines_of("job-1").empty());
+
+  submit(low_priority_job("job-3", 1, "za"));
+  fleet_.run_for_s(5);
+  EXPECT_EQ(fleet_.machines_of("job-3"), Machines{"w-1"});
+}
+
 // --- The whole region ---
 
 /// A plan without faults with the objectives above, in which each machine boots within seconds.
