Quarantine: tasks whose start wasn't sent are placed elsewhere

Cause: a machine that becomes silent or is cordoned loses the tasks whose start hasn't been sent. One in quarantine kept them, while no start is sent to it.

Change: they are dropped there, too, and placed in the next pass.

--- a/src/controller/heartbeat_handler.cpp
+++ b/src/controller/heartbeat_handler.cpp
@@ -143,6 +143,9 @@
   // The check for faults follows the task statuses, because cordoning the machine changes its list
   // of attempts.
   if (!machine.error_jobs.empty()) check_for_fault(machine);
+  // Starts are not sent while the machine is in quarantine.
+  if (clock_.now < machine.quarantined_until && machine.has_unsent_starts())
+    drop_unsent_on_machine(machine);
   if (heartbeat.reclaim_in_s && machine.notice_until == 0)
     handle_spot_notice(machine, *heartbeat.reclaim_in_s);
   if (machine.empty() && machine.idle_since == 0) machine.idle_since = clock_.now;
--- a/src/storage/tables.cpp
+++ b/src/storage/tables.cpp
@@ -33,6 +33,12 @@
   return count;
 }
 
+bool Machine::has_unsent_starts() const {
+  return std::any_of(attempts.begin(), attempts.end(), [](const TaskAttempt& attempt) {
+    return attempt.state == AttemptState::Reserved;
+  });
+}
+
 void Machine::touch_image(const std::string& image, double gb) {
   for (auto it = images.begin(); it != images.end(); ++it)
     if (it->name == image) {
--- a/src/storage/tables.hpp
+++ b/src/storage/tables.hpp
@@ -230,6 +230,8 @@
   /// The number of images that its placed tasks are still to fetch.
   [[nodiscard]] std::size_t fetches() const;
   [[nodiscard]] bool empty() const { return attempts.empty(); }
+  /// True if the start of an attempt has not been sent.
+  [[nodiscard]] bool has_unsent_starts() const;
   /// Marks an image as the most recently used one. Adding one to a full cache evicts the least
   /// recently used.
   void touch_image(const std::string& image, double gb);
--- a/tests/reserved_room_test.cpp
+++ b/tests/reserved_room_test.cpp
@@ -275,6 +275,23 @@
   EXPECT_EQ(fleet_.machines_of("job-3"), Machines{"w-1"});
 }
 
+// Guards against a task that waits for as long as its machine is in quarantine, beside room
+// elsewhere: it was bound to the machine just before, and its start is not sent.
+TEST_F(ReservedRoomTest, ATaskBoundToAMachineInQuarantineIsStartedElsewhere) {
+  fleet_.add("w-1", "za");
+  submit_and_start(resident_job("job-1", 1), "w-1");
+  submit_and_start(resident_job("job-2", 1), "w-1");
+  fleet_.add("w-2", "zb");
+  submit_and_start(keeper_job("job-3", "zb"), "w-2");
+
+  ASSERT_EQ(fleet_.fail({"job-1", 0}), "w-1");
+  ASSERT_EQ(fleet_.fail({"job-2", 0}), "w-1");
+  submit(resident_job("job-4", 1));  // the machine that holds its image hasn't reported the errors
+  fleet_.run_for_s(5);
+  ASSERT_EQ(driver_.log_lines(LogEvent::MachineQuarantined).size(), 1U);
+  EXPECT_EQ(fleet_.machines_of("job-4"), Machines{"w-2"});
+}
+
 // --- The whole region ---
 
 /// A plan without faults with the objectives above, in which each machine boots within seconds.
