Placement: a job that is likely invalid asks for one machine

What callers saw: machines were requested for all tasks of a job that fails wherever it runs, although only one of its tasks runs at a time; the others were terminated as idle, or never needed.

Cause: such a job places one task a pass, but if that task found no room, all its queued tasks counted as unmet demand, and tasks were stopped for all of them.

Change: one task counts. place_tasks is split: place_task decides for one task.

Measured: the new test failed before (unmet_demand tasks=6, 8 machines pending) and passes now.

--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -274,6 +274,9 @@
   bool place_job(Job& job);
   bool task_due(Job& job, std::uint32_t index);
   std::optional<std::uint32_t> place_tasks(Job& job, bool one_by_one);
+  /// What a pass has done for a task that it had to place.
+  enum class PlacementOutcome : std::uint8_t { Placed, RoomReserved, NoRoom };
+  PlacementOutcome place_task(Job& job, std::uint32_t index);
   Machine* image_holder_with_room(const Job& job, const Machine& machine);
   [[nodiscard]] bool may_run_beside_image(const Job& job, const Machine& holder) const;
   bool make_room_at_image_holder(Job& job, const Machine& machine);
--- a/src/controller/placement.cpp
+++ b/src/controller/placement.cpp
@@ -280,38 +280,49 @@
   return is_due;
 }
 
-// Places as many of the job's tasks as possible. Returns the number of tasks that found no room, or
-// an empty value if the team is at its quota limit.
+// Places as many of the job's tasks as possible, at most one if `one_by_one` is set. Returns the
+// number of tasks that found no room, or an empty value if the team is at its quota limit.
 std::optional<std::uint32_t> Controller::place_tasks(Job& job, bool one_by_one) {
   std::uint32_t waiting = 0;
   for (std::uint32_t i = job.next_queued; i < job.tasks.size() && job.queued > 0; ++i) {
     if (!task_due(job, i)) continue;
     if (job.team == nullptr || !job.team->allows(job.spec().need)) return {};
-    Machine* machine = take_migration_target(job, i);
-    if (machine == nullptr) machine = best_machine(job, false);
-    if (machine != nullptr && fetch_violates_any_slo(job, *machine)) {
-      Machine* holder = image_holder_with_room(job, *machine);
-      if (holder == nullptr && make_room_at_image_holder(job, *machine)) {
+    switch (place_task(job, i)) {
+      case PlacementOutcome::Placed:
+        break;
+      case PlacementOutcome::RoomReserved:
         ++waiting;
-        continue;
-      }
-      if (holder != nullptr) machine = holder;
+        break;
+      case PlacementOutcome::NoRoom:
+        return one_by_one ? 1 : job.queued - waiting;
     }
-    if (machine == nullptr) {
-      // A machine with room may already be fetching as many images as allowed. Its room is reserved
-      // for the task, and the task isn't counted as unmet demand, so no instance is added for it.
-      Machine* fetching_machine = best_machine(job, true);
-      if (fetching_machine == nullptr) return job.queued - waiting;
-      reserve_for(job, *fetching_machine, job.spec().need, ReservationCause::FetchLimit);
-      ++waiting;
-      continue;
-    }
-    bind(job, i, *machine, new_attempt_number());
     if (one_by_one) return 0;
   }
   return 0;
 }
 
+// Places a task, or reserves room that it is to use soon.
+Controller::PlacementOutcome Controller::place_task(Job& job, std::uint32_t index) {
+  Machine* machine = take_migration_target(job, index);
+  if (machine == nullptr) machine = best_machine(job, false);
+  if (machine == nullptr) {
+    // A machine with room may already be fetching as many images as allowed. Its room is reserved
+    // for the task, and the task isn't counted as unmet demand, so no instance is added for it.
+    Machine* fetching_machine = best_machine(job, true);
+    if (fetching_machine == nullptr) return PlacementOutcome::NoRoom;
+    reserve_for(job, *fetching_machine, job.spec().need, ReservationCause::FetchLimit);
+    return PlacementOutcome::RoomReserved;
+  }
+  if (fetch_violates_any_slo(job, *machine)) {
+    Machine* holder = image_holder_with_room(job, *machine);
+    if (holder == nullptr && make_room_at_image_holder(job, *machine))
+      return PlacementOutcome::RoomReserved;
+    if (holder != nullptr) machine = holder;
+  }
+  bind(job, index, *machine, new_attempt_number());
+  return PlacementOutcome::Placed;
+}
+
 // Returns a machine that holds the job's image and has room for a task, although the ranking
 // prefers `machine`, which doesn't hold it; null if there is none. Such a machine is an on-demand
 // instance beside a spot instance, or one on which the job has failed. The latter is left out.
--- a/tests/reserved_room_test.cpp
+++ b/tests/reserved_room_test.cpp
@@ -292,6 +292,35 @@
   EXPECT_EQ(fleet_.machines_of("job-4"), Machines{"w-2"});
 }
 
+// Guards against requesting machines for all tasks of a job that is probably invalid, of which only
+// one task runs at a time.
+TEST_F(ReservedRoomTest, ForAJobThatIsLikelyInvalidOneMachineIsRequested) {
+  fleet_.add("w-1", "za");
+  fleet_.add("w-2", "zb");
+  fleet_.run_for_s(1);
+  JobSpec invalid = keeper_job("job-1", "");
+  invalid.tasks = 6;
+  invalid.priority = Priority::Low;
+  invalid.need = sample_type().size;
+  submit(invalid);
+  fleet_.run_for_s(4);
+  fleet_.finish_fetches("w-1");
+  fleet_.finish_fetches("w-2");
+  fleet_.run_for_s(2);
+  ASSERT_EQ(fleet_.machines_of("job-1"), (Machines{"w-1", "w-2"}));
+  for (std::uint32_t index = 0; index < invalid.tasks; ++index) fleet_.fail({"job-1", index});
+  fleet_.run_for_s(1);
+  JobSpec full = keeper_job("job-2", "");
+  full.tasks = 2;
+  full.need = sample_type().size;
+  submit(full);
+  fleet_.run_for_s(30);
+  ASSERT_EQ(fleet_.machines_of("job-2"), (Machines{"w-1", "w-2"}));
+
+  const std::string latest = driver_.log_lines(LogEvent::UnmetDemand).back();
+  EXPECT_NE(latest.find("event=unmet_demand tasks=1 "), std::string::npos) << latest;
+}
+
 // --- The whole region ---
 
 /// A plan without faults with the objectives above, in which each machine boots within seconds.
