Forwarded requests: call ids that no other process has used; model of late copies of commands

On a service like this one, a late copy of a start made a task run twice, and a cancelled one run again.

The region's model now plays copies of direct commands, of responses to heartbeats and of heartbeats forwarded between controllers, 1 ms to 2.5 leases late, and machines that restart in their first incarnation without a fencing token. Starts are sent only in responses to a worker's own heartbeats, never as direct commands, so a copy of a direct command can only stop an attempt or fetch a status.

Fault found: a controller that had restarted used the call ids of its predecessor again. A late copy of the leader's response to the predecessor was passed on as the response to another worker's heartbeat, or to another user. Ids now start at the process's random incarnation.

--- a/sim/fault_injection.cpp
+++ b/sim/fault_injection.cpp
@@ -49,6 +49,9 @@
 };
 constexpr std::uint32_t kOverlappingFaultCount = 17;
 
+/// A machine that restarts is down for at least this time.
+constexpr Time kMinRestartMs = 200;
+
 bool affects_controllers(SingleFault kind) {
   return kind <= SingleFault::IsolateController || kind == SingleFault::FreezeController;
 }
@@ -149,6 +152,29 @@
       if (task.present) task_ended(task.status.key, name, false);
 }
 
+void SimulatedRegion::restart_machine(const std::string& name, Time for_ms) {
+  Worker& ended = workers_[name];
+  if (!ended.alive) return;
+  kill_machine(name);
+  schedule(now_ + std::max(for_ms, kMinRestartMs), [this, name, boots = ended.boots] {
+    Worker& worker = workers_[name];
+    const auto listed = cloud_.machines.find(name);
+    if (worker.boots != boots || listed == cloud_.machines.end()) return;
+    Worker restarted;
+    restarted.machine = worker.machine;
+    restarted.boots = boots + 1;
+    restarted.node = random_(node_count());
+    restarted.clock_rate = worker.clock_rate;
+    restarted.last_accepted_sent_at = now_;
+    // Each heartbeat has a connection of its own, which isn't taken for that of an earlier one.
+    restarted.heartbeat_number = worker.heartbeat_number;
+    restarted.images = worker.images;
+    restarted.done = worker.done;
+    worker = std::move(restarted);
+    worker_tick(name, worker.boots);
+  });
+}
+
 void SimulatedRegion::hang_machine(const std::string& name, Time for_ms) {
   Worker& hung = workers_[name];
   hung.hang_until = now_ + for_ms;
@@ -156,9 +182,9 @@
   // machine that hangs count as ended: the worker ends them before it does anything else.
   const double lease = settings_[0].workers.lease_s * 1000;
   schedule(hung.last_accepted_sent_at + static_cast<Time>(std::ceil(lease / hung.clock_rate)) + 1,
-           [this, name, until = hung.hang_until] {
+           [this, name, until = hung.hang_until, boots = hung.boots] {
              Worker& worker = workers_[name];
-             if (!worker.alive || now_ >= until) return;
+             if (!worker.alive || worker.boots != boots || now_ >= until) return;
              for (auto& [key, attempts] : worker.tasks)
                for (TaskAttempt& task : attempts) {
                  if (task.present) task_ended(task.status.key, name, false);
@@ -199,6 +225,10 @@
 
 void SimulatedRegion::slow_commands(Time for_ms) { slow_commands_ = {0.5, now_ + for_ms}; }
 
+void SimulatedRegion::copy_commands(double share, Time for_ms) {
+  copied_commands_ = {share, now_ + for_ms};
+}
+
 void SimulatedRegion::cancel_on_completion(double share, Time for_ms) {
   cancel_on_completion_ = {share, now_ + for_ms};
 }
--- a/sim/simulated_region.cpp
+++ b/sim/simulated_region.cpp
@@ -32,7 +32,7 @@
       worker.node = random_(node_count());
       worker.clock_rate = 1.0 + (static_cast<double>(random_(1000)) - 500) * 1e-6;
       machine_by_address_[machine.address] = machine.name;
-      worker_tick(machine.name);
+      worker_tick(machine.name, worker.boots);
     });
   };
   cloud_.on_terminated = [this](const std::string& name) {
@@ -255,11 +255,15 @@
   const std::size_t receiver = node_index(to);
   // A link ends with the sending process, so its number encodes the node and its incarnation.
   const std::uint64_t link = nodes_[node].incarnation * nodes_.size() + node;
-  transmit(nodes_[node].name, to, [this, node, receiver, link, bytes = encode_peer(send.message)] {
+  const auto arrive = [this, node, receiver, link, bytes = encode_peer(send.message)] {
     PeerReader reader;
     reader.feed(bytes);
     if (const auto message = reader.next()) receive(node, receiver, link, *message);
-  });
+  };
+  transmit(nodes_[node].name, to, arrive);
+  const bool is_heartbeat = send.message.kind == PeerMessage::Kind::Request &&
+                            send.message.request.op == RequestOp::Heartbeat;
+  if (is_heartbeat) copy_command(arrive);
 }
 
 void SimulatedRegion::receive(std::size_t from, std::size_t to, std::uint64_t link,
@@ -304,6 +308,7 @@
                if (nodes_[receiver].incarnation == incarnation)
                  receive_from_peer(receiver, node, message);
              });
+    copy_command([this, node, receiver, message] { receive_from_peer(receiver, node, message); });
     return;
   }
   if (const auto it = response_handlers_.find(response.source.link);
--- a/sim/simulated_region.hpp
+++ b/sim/simulated_region.hpp
@@ -123,11 +123,19 @@
   void delay_heartbeats(double share, Time for_ms);
   /// Delays half of the direct commands, and half of their responses, by up to six seconds.
   void slow_commands(Time for_ms);
+  /// Makes late copies of that share of the messages that carry commands on their way to a worker:
+  /// direct commands, responses to heartbeats, and both parts of a heartbeat that is forwarded
+  /// between controllers. A copy arrives after 1 ms to 2.5 worker leases, each order of magnitude
+  /// as often as another, at whichever process then runs on the host.
+  void copy_commands(double share, Time for_ms);
 
   // --- Faults of machines ---
 
   /// Ends the machine and all tasks on it for good.
   void kill_machine(const std::string& name);
+  /// Ends the machine and all tasks on it, and starts it again after `for_ms`, at least 200: in its
+  /// first incarnation, without a fencing token, with the images and results of completed tasks.
+  void restart_machine(const std::string& name, Time for_ms);
   /// Makes the machine hang. Its tasks end if its lease expires meanwhile.
   void hang_machine(const std::string& name, Time for_ms);
   /// Keeps responses and commands from reaching the machine, while its heartbeats still arrive.
@@ -197,6 +205,8 @@
   [[nodiscard]] Time longest_input_wait() const { return longest_input_wait_; }
   /// Resets the longest wait of inputs.
   void reset_input_waits() { longest_input_wait_ = 0; }
+  /// The number of late copies of messages with commands that have arrived.
+  [[nodiscard]] std::uint64_t command_copies() const { return command_copies_; }
   /// The number of heartbeats that have reached a node.
   [[nodiscard]] std::uint64_t heartbeats() const { return heartbeats_; }
   /// Successful responses to users that don't hold a job's state.
@@ -279,6 +289,7 @@
   struct Worker {
     CloudMachine machine;
     bool alive = true;
+    std::uint64_t boots = 0;  // how often the machine has been restarted
     std::uint64_t incarnation = 1, seq = 0, fencing_token = 0;
     std::size_t node = 0;
     Time last_accepted_sent_at = 0, hang_until = 0, inbound_blocked_until = 0,
@@ -380,7 +391,8 @@
 
   // --- Workers (workers.cpp) ---
 
-  void worker_tick(const std::string& name);
+  /// Does the periodic work of a worker until the machine ends or is restarted.
+  void worker_tick(const std::string& name, std::uint64_t boots);
   void advance(Worker& worker, TaskAttempt& task);
   void begin_task(Worker& worker, TaskAttempt& task);
   void end_task(Worker& worker, TaskAttempt& task, ExitCause cause);
@@ -403,6 +415,8 @@
                               const std::string& body, std::uint64_t incarnation);
   void transmit_command(const std::string& from, const std::string& to,
                         std::function<void()> arrive);
+  /// Schedules the arrival of a copy of a message if `copy_commands` affects the message.
+  void copy_command(std::function<void()> arrive);
 
   // --- Gangs on workers (gangs.cpp) ---
 
@@ -475,7 +489,7 @@
   std::unordered_map<std::string, std::size_t> user_by_job_;
   NetworkCuts cuts_{[this](const std::string& host) { return zone_of(host); }};
   PartialFault delayed_writes_, lost_write_responses_, kept_for_next_leader_, delayed_heartbeats_,
-      cancel_on_completion_, slow_commands_;
+      cancel_on_completion_, slow_commands_, copied_commands_;
   Time poll_intensively_until_ = 0;
   std::vector<std::string> kept_heartbeats_;
   std::set<std::string> failing_jobs_, faulty_machines_;
@@ -488,7 +502,7 @@
   std::map<std::uint64_t, std::function<void(int, const std::string&)>> response_handlers_;
   std::vector<Time> submission_delays_;
   std::uint64_t malformed_responses_ = 0, unanswered_submissions_ = 0,
-                unanswered_cancellations_ = 0, heartbeats_ = 0;
+                unanswered_cancellations_ = 0, heartbeats_ = 0, command_copies_ = 0;
 };
 
 }  // namespace sailreel::sim
--- a/sim/workers.cpp
+++ b/sim/workers.cpp
@@ -1,5 +1,6 @@
 // The simulated workers, which follow the published worker protocol.
 #include <algorithm>
+#include <cmath>
 
 #include "protocol/fake_server_codec.hpp"
 #include "protocol/worker_codec.hpp"
@@ -46,12 +47,12 @@
   worker.status_changed = true;
 }
 
-void SimulatedRegion::worker_tick(const std::string& name) {
+void SimulatedRegion::worker_tick(const std::string& name, std::uint64_t boots) {
   const auto found = workers_.find(name);
-  if (found == workers_.end() || !found->second.alive) return;
+  if (found == workers_.end() || !found->second.alive || found->second.boots != boots) return;
   Worker& worker = found->second;
   if (now_ < worker.hang_until) {
-    schedule(worker.hang_until, [this, name] { worker_tick(name); });
+    schedule(worker.hang_until, [this, name, boots] { worker_tick(name, boots); });
     return;
   }
   const double lease = settings_[0].workers.lease_s * 1000;
@@ -63,7 +64,7 @@
       (now_ >= worker.next_heartbeat ||
        (worker.status_changed && now_ - worker.last_heartbeat >= 500)))
     send_heartbeat(worker);
-  schedule(now_ + kWorkerTickMs, [this, name] { worker_tick(name); });
+  schedule(now_ + kWorkerTickMs, [this, name, boots] { worker_tick(name, boots); });
 }
 
 void SimulatedRegion::advance(Worker& worker, TaskAttempt& task) {
@@ -144,6 +145,7 @@
   };
   response_handlers_[call] = [this, node, name, finish](int status, const std::string& body) {
     transmit(nodes_[node].name, name, [finish, status, body] { finish(status, body); });
+    copy_command([finish, status, body] { finish(status, body); });
   };
   const std::string raw = encode_heartbeat(heartbeat);
   const auto deliver = [this, node, raw](RequestSource source) {
@@ -295,6 +297,18 @@
     transmit(from, to, std::move(arrive));
 }
 
+void SimulatedRegion::copy_command(std::function<void()> arrive) {
+  if (!affects_next(copied_commands_)) return;
+  constexpr double kMaxDelayLeases = 2.5, kSteps = 1'000;
+  const double longest_ms = kMaxDelayLeases * static_cast<double>(ms(plan_.lease_s));
+  const double part = random_(static_cast<std::uint32_t>(kSteps)) / kSteps;
+  schedule(now_ + static_cast<Time>(std::pow(longest_ms, part)),
+           [this, arrive = std::move(arrive)] {
+             ++command_copies_;
+             arrive();
+           });
+}
+
 void SimulatedRegion::send_direct_command(std::size_t node, std::uint64_t call,
                                           const std::string& address, const std::string& body) {
   const auto known = machine_by_address_.find(address);
@@ -303,6 +317,7 @@
   const std::uint64_t incarnation = nodes_[node].incarnation;
   const auto execute = [=, this] { execute_direct_command(node, call, name, body, incarnation); };
   transmit_command(nodes_[node].name, name, execute);
+  copy_command([this, name, body] { send_command(name, body, [](int, const Heartbeat&) {}); });
 }
 
 void SimulatedRegion::execute_direct_command(std::size_t node, std::uint64_t call,
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -550,7 +550,10 @@
   /// longer valid.
   void handle_forward_timeout(const Forwarded& forwarded);
   std::map<std::uint64_t, Forwarded> forwarded_;
-  std::uint64_t next_forward_ = 1;
+  /// The call id of the next request that is forwarded. A restarted controller must not use the
+  /// ids of its predecessor again: a late response to the predecessor would be taken for another
+  /// request's.
+  std::uint64_t next_forward_ = incarnation_;
   /// The checkpoint as a follower reads it for queries, and as a new leader is loading it.
   Snapshot snapshot_, loading_snapshot_;
   bool snapshot_loaded_ = false;
--- a/tests/delayed_heartbeats_test.cpp
+++ b/tests/delayed_heartbeats_test.cpp
@@ -156,13 +156,6 @@
   expect_rules_kept_and_nothing_left(region, seed);
 }
 
-// Returns the number of seeds to simulate: `default_count` in CI, or the value of
-// SAILREEL_SOAK_DAYS in a long run that is started manually.
-std::uint64_t seed_count(std::uint64_t default_count) {
-  const char* soak_days = std::getenv("SAILREEL_SOAK_DAYS");
-  return soak_days == nullptr ? default_count : std::strtoull(soak_days, nullptr, 10);
-}
-
 TEST(DelayedHeartbeats, DaysOfMachineCuts) {
   for (std::uint64_t seed = 1; seed <= seed_count(12); ++seed) simulate_machine_cuts(seed, {});
 }
--- a/tests/support/scenarios.hpp
+++ b/tests/support/scenarios.hpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
+
 #include "sim/simulated_region.hpp"
 
 namespace sailreel::sim {
@@ -17,6 +19,13 @@
   return plan;
 }
 
+/// Returns the number of seeds to simulate: `default_count` in CI, or the value of
+/// SAILREEL_SOAK_DAYS in a long run that is started manually.
+inline std::uint64_t seed_count(std::uint64_t default_count) {
+  const char* soak_days = std::getenv("SAILREEL_SOAK_DAYS");
+  return soak_days == nullptr ? default_count : std::strtoull(soak_days, nullptr, 10);
+}
+
 /// An array whose tasks need one GPU each, run for half to one and a half times `run_s`, and may
 /// run on spot machines.
 inline JobSpec array_job(const std::string& id, std::uint32_t tasks, double run_s) {
