Logs: a line for each refused request, with its field and cause

A submission that got 400 or 422, and a heartbeat that got 400, left no line, so an incident's records couldn't tell which of three causes had refused a sound job.

request_refused names operation, status, job, bytes, cause and field. Texts in all log lines that hold a space, a quotation mark or an unprintable byte are quoted and escaped, and cut at 200 bytes: a job's class or a machine's zone could forge a line or fill the log.

Malformed heartbeats and oversize bodies now reach the controller as an input of their own. The responses are unchanged.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -163,13 +163,16 @@
     const auto respond_error = [&](int status, const char* text) {
       respond(source, status, encode_error(text), 0);
     };
-    if (request.body_too_large) return respond_error(400, "body too large");
     const std::string_view path = std::string_view(request.path).substr(0, request.path.find('?'));
-    if (path == "/hello") {
+    constexpr std::string_view kHeartbeatPath = "/hello";
+    if (request.body_too_large) {
+      const RequestOp op = path == kHeartbeatPath ? RequestOp::Heartbeat : RequestOp::Submit;
+      return feed(
+          MalformedRequest{source, op, {DecodeErrorKind::TooLarge, {}}, request.body.size()});
+    }
+    if (path == kHeartbeatPath) {
       if (request.method != "POST") return respond_error(405, "method not allowed");
-      auto heartbeat = decode_heartbeat(request.body);
-      if (!heartbeat) return respond_error(400, "not a report");
-      return feed(HeartbeatReceived{source, std::move(*heartbeat), std::move(request.body)});
+      return receive_heartbeat(source, std::move(request.body));
     }
     if (path == "/healthz") {
       if (request.method != "GET") return respond_error(405, "method not allowed");
@@ -193,6 +196,13 @@
     feed(UserRequest{source, cancel ? RequestOp::Cancel : RequestOp::Query, std::string(id), {}});
   }
 
+  void receive_heartbeat(const RequestSource& source, std::string body) {
+    auto heartbeat = decode_heartbeat(body);
+    if (!heartbeat)
+      return feed(MalformedRequest{source, RequestOp::Heartbeat, heartbeat.error(), body.size()});
+    feed(HeartbeatReceived{source, std::move(*heartbeat), std::move(body)});
+  }
+
   void handle_peer_message(std::uint64_t link, PeerMessage message) {
     switch (message.kind) {
       case PeerMessage::Kind::Heartbeat:
@@ -205,10 +215,7 @@
         if (message.request.op != RequestOp::Heartbeat)
           return feed(UserRequest{source, message.request.op, std::move(message.request.id),
                                   std::move(message.request.body), message.request.relay});
-        auto heartbeat = decode_heartbeat(message.request.body);
-        if (!heartbeat) return respond(source, 400, encode_error("not a report"), 0);
-        return feed(
-            HeartbeatReceived{source, std::move(*heartbeat), std::move(message.request.body)});
+        return receive_heartbeat(source, std::move(message.request.body));
       }
       case PeerMessage::Kind::Response:
         if (const std::size_t peer = peer_network_.peer_of(link); peer < peer_network_.peer_count())
--- a/src/controller/actions.hpp
+++ b/src/controller/actions.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <variant>
 
+#include "protocol/decoded.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
 
@@ -33,6 +34,13 @@
   Heartbeat heartbeat;
   std::string encoded;  // the encoded heartbeat as received, for forwarding
 };
+/// A request that could not be decoded, received from its sender or forwarded by a peer.
+struct MalformedRequest {
+  RequestSource source;
+  RequestOp op = RequestOp::Submit;
+  DecodeError error;
+  std::size_t bytes = 0;  // of the body
+};
 /// The response to a CallKvStore action.
 struct KvResponseReceived {
   std::uint64_t call = 0;
@@ -66,7 +74,7 @@
 struct Tick {};
 using Input = std::variant<Tick, UserRequest, HeartbeatReceived, KvResponseReceived,
                            CloudResponseReceived, WorkerResponseReceived, PeerMessageReceived,
-                           PeerDisconnected, RegionMessageReceived>;
+                           PeerDisconnected, RegionMessageReceived, MalformedRequest>;
 
 // ---- actions ----
 /// Responds to a user, worker or peer.
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -26,6 +26,7 @@
 #include "controller/peer_table.hpp"
 #include "controller/pending_scale_out.hpp"
 #include "controller/pool_demand.hpp"
+#include "controller/refusal_log.hpp"
 #include "controller/regional_quotas.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/peer_frames.hpp"
@@ -79,6 +80,7 @@
   void handle(const PeerMessageReceived& input);
   void handle(const PeerDisconnected& input);
   void handle(const RegionMessageReceived& input) { handle_region_message(input); }
+  void handle(const MalformedRequest& input);
   void tick();
   void check_event_loop_lag();
   /// Responses that carry commands or job states must not be sent at or after this time.
@@ -101,6 +103,8 @@
   // user_requests.cpp
   void handle_user_request(const UserRequest& request);
   void lead_submit(const UserRequest& request);
+  /// Responds with the refusal's status and the text, and logs the refusal.
+  void refuse(const RequestSource& source, Refusal refusal, std::string_view text);
   void lead_query(const UserRequest& request);
   void lead_cancel(const UserRequest& request);
   void finish_cancellation(Job& job);
@@ -516,6 +520,7 @@
   pcg32 random_;
   Clock clock_;
   Outbox outbox_;
+  RefusalLog refusals_;
   Tables tables_;
   RegionalQuotas quotas_;
   Time next_load_report_ = 0;    // next time the quota share manager is updated with the load
--- a/src/controller/log_line.cpp
+++ b/src/controller/log_line.cpp
@@ -1,5 +1,6 @@
 #include "controller/log_line.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -19,6 +20,40 @@
   line += shown;
 }
 
+/// Longer texts are cut in log lines.
+constexpr std::size_t kMaxTextBytes = 200;
+
+bool is_plain(char character) {
+  return character > ' ' && character <= '~' && character != '"' && character != '\\';
+}
+
+/// Appends the text in quotation marks, with escapes for all that could end the text or the line.
+void append_quoted(std::string_view text, std::string& line) {
+  constexpr std::string_view kHexDigits = "0123456789abcdef";
+  line += '"';
+  for (const char character : text) {
+    if (is_plain(character) || character == ' ') {
+      line += character;
+      continue;
+    }
+    const auto byte = static_cast<unsigned char>(character);
+    line += "\\x";
+    line += kHexDigits[byte / kHexDigits.size()];
+    line += kHexDigits[byte % kHexDigits.size()];
+  }
+  line += '"';
+}
+
+/// Appends a text that a sender may have chosen.
+void append_text(std::string_view text, std::string& line) {
+  const std::string_view shown = text.substr(0, kMaxTextBytes);
+  if (std::all_of(shown.begin(), shown.end(), is_plain))
+    line += shown;
+  else
+    append_quoted(shown, line);
+  if (shown.size() < text.size()) line += "...";
+}
+
 }  // namespace
 
 std::string_view to_string(LogEvent event) {
@@ -51,6 +86,8 @@
       return "keep_alive";
     case LogEvent::JobSubmitted:
       return "job_submitted";
+    case LogEvent::RequestRefused:
+      return "request_refused";
     case LogEvent::JobCancelRequested:
       return "job_cancel_requested";
     case LogEvent::JobDone:
@@ -125,7 +162,7 @@
   line += key_;
   line += '=';
   if (const auto* text = std::get_if<std::string_view>(&value_)) {
-    line += *text;
+    append_text(*text, line);
   } else if (const auto* quoted = std::get_if<Quoted>(&value_)) {
     line += '"';
     line += quoted->text;
--- a/src/controller/log_line.hpp
+++ b/src/controller/log_line.hpp
@@ -32,6 +32,7 @@
   KeepAlive,
   // jobs and task attempts
   JobSubmitted,
+  RequestRefused,
   JobCancelRequested,
   JobDone,
   JobCancelled,
--- a/src/controller/user_requests.cpp
+++ b/src/controller/user_requests.cpp
@@ -85,14 +85,20 @@
   if (id && unknown_jobs_)
     return respond_unknown(request.source, unknown_jobs_, commands_valid_until());
   auto spec = decode_submission(request.body);
-  if (!spec)
-    return outbox_.respond(
-        request.source, 400,
-        encode_error("invalid: " + std::string(describe_submission_error(spec.error()))));
+  Refusal refusal{RequestOp::Submit, 400, id ? std::string_view(*id) : "", request.body.size()};
+  if (!spec) {
+    refusal.cause = to_string(spec.error().kind);
+    refusal.field = spec.error().field;
+    return refuse(request.source, refusal,
+                  "invalid: " + std::string(describe_submission_error(spec.error())));
+  }
+  refusal.status = 422;
   if (tables_.types.empty())
     return outbox_.reject(request.source, RejectReason::MachineTypesUnknown);
-  if (const auto cause = infeasibility(*spec))
-    return outbox_.respond(request.source, 422, encode_error(to_string(*cause)));
+  if (const auto cause = infeasibility(*spec)) {
+    refusal.cause = to_string(*cause);
+    return refuse(request.source, refusal, refusal.cause);
+  }
   if (spec->kind == JobKind::Gang && !checkpoint_.gangs_enabled())
     return outbox_.reject(request.source, RejectReason::GangsNotEnabled);
   if (checkpoint_.commit_outcome_unknown())
@@ -107,9 +113,11 @@
   if (record.spec.kind == JobKind::Gang) record.started = record.spec.tasks;
   // The record has to fit into one value of the key-value store: a large one is moved from the
   // manifest to a shard at once.
-  if (record_reserve(false, encode_record(record).size()) > checkpoint_.max_value_bytes(kValueFill))
-    return outbox_.respond(request.source, 422,
-                           encode_error("its description is too large to be kept"));
+  if (record_reserve(false, encode_record(record).size()) >
+      checkpoint_.max_value_bytes(kValueFill)) {
+    refusal.cause = "its description is too large to be kept";
+    return refuse(request.source, refusal, refusal.cause);
+  }
   Job& job = tables_.add_job(std::move(record));
   job.accepted = clock_.now;
   checkpoint_.mark_changed(job);
@@ -121,6 +129,19 @@
                {"tasks", job.spec().tasks}});
 }
 
+void Controller::refuse(const RequestSource& source, Refusal refusal, std::string_view text) {
+  outbox_.respond(source, refusal.status, encode_error(text));
+  refusal.forwarded = source.kind == RequestSource::Kind::Peer;
+  refusals_.log(outbox_, clock_.now, refusal);
+}
+
+void Controller::handle(const MalformedRequest& input) {
+  const Refusal refusal{input.op,         400, {}, input.bytes, to_string(input.error.kind),
+                        input.error.field};
+  refuse(input.source, refusal,
+         input.error.kind == DecodeErrorKind::TooLarge ? "body too large" : "not a report");
+}
+
 void Controller::lead_query(const UserRequest& request) {
   if (const auto found = tables_.finished.find(request.id); found != tables_.finished.end())
     return respond_with_job(request.source, 200, view(request.id, found->second));
--- a/src/protocol/decoded.hpp
+++ b/src/protocol/decoded.hpp
@@ -21,6 +21,8 @@
   TrailingBytes,
   /// The field holds a format version or a message kind that this version doesn't support.
   Unsupported,
+  /// The text is longer than the protocol allows.
+  TooLarge,
 };
 
 /// Why something could not be decoded.
