Numbers: read by their value in every spelling, without RapidJSON's conversion

Callers saw: a sound submission of 612 bytes got 400, because it spelled zero with 41 decimals; one request of 515 bytes, also without a leader, ended a controller with a segmentation fault.

What a zero became depended on the build and processor: the Release build on x86-64 reads 41 zeros as a negative number (refused, logbook_s), with 200 zeros as 6.2e290; other builds as 1e-60 or 0.004. Not only zeros: 0.000...1 with 360 zeros ended the process as well. Besides, RapidJSON reports 0e400, 1e999 and 400 digits as malformed JSON wherever they stand, also in unknown fields, and 40.0 wasn't taken for a count though the protocol only says that counts are integers.

Fix: the parser hands over each number's characters, and std::from_chars (or strtod where it says out of range) reads them. Numbers that the parser can't pass are taken out of the text in one pass before it is parsed again, so a text costs at most three passes. Amounts out of range are refused by their field's name. Whole numbers below 2^53 may have a fraction or an exponent.

Submission.NumbersAndIdsAreCheckedStrictly refused 1e3 for a count, which is the integer 1000; it now checks 1e-3, 1.0005e3 and 1e6 in its place.

--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -15,6 +15,9 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
+
+#include "protocol/json_numbers.hpp"
 
 namespace sailreel::json {
 
@@ -38,8 +41,21 @@
   // NOLINTNEXTLINE(cppcoreguidelines-pro-type-member-init): the allocator needs no zeroed memory
   Document() : rapidjson::Document(&allocator) {}
 
+  /// Called by the parser with the characters of a number, which it doesn't convert.
+  // NOLINTNEXTLINE(readability-identifier-naming): RapidJSON's handlers have this name
+  bool RawNumber(const char* characters, rapidjson::SizeType length, bool copy);
+
  private:
   friend bool parse_object(std::string_view text, Document& out);
+
+  /// Parses `text` in place.
+  rapidjson::ParseErrorCode parse();
+  template <unsigned kFlags>
+  rapidjson::ParseErrorCode parse_with();
+
+  /// Numbers that were taken out of `text` and haven't been parsed yet begin at `next_extracted_`.
+  std::vector<ExtractedNumber> extracted_;
+  std::size_t next_extracted_ = 0;
 };
 
 /// Parses a JSON object. Returns false if `text` is anything else. `out` must be newly constructed.
@@ -54,9 +70,10 @@
 /// Sets `out` to a view into the document, which is valid as long as the document exists.
 bool get(const Value& object, const char* name, std::string_view& out);
 bool get(const Value& object, const char* name, bool& out);
-/// Accepts only finite, non-negative numbers.
+/// Accepts only non-negative numbers within the range of a double.
 bool get(const Value& object, const char* name, double& out);
-/// Accepts only integers below 2^64 that are written without a fraction or an exponent.
+/// Accepts integers below 2^64; those that are spelled with a fraction or an exponent, like 40.0,
+/// only below 2^53, up to which they are exact.
 bool get(const Value& object, const char* name, std::uint64_t& out);
 
 inline void put(Writer& writer, const std::string& value) {
--- a/tests/number_spellings_test.cpp
+++ b/tests/number_spellings_test.cpp
@@ -98,5 +98,97 @@
   }));
 }
 
+/// The same submission with another spelling of one field.
+std::string with_field(const std::string& field, const std::string& number) {
+  std::string body = submission_with_41_decimals();
+  const std::size_t begin = body.find("\"" + field + "\":") + field.size() + 3;
+  return body.replace(begin, body.find_first_of(",}", begin) - begin, number);
+}
+
+/// Adds a field that the protocol doesn't know.
+std::string with_unknown_field(const std::string& value) {
+  return "{\"unknown\":" + value + "," + submission_with_41_decimals().substr(1);
+}
+
+TEST(NumberSpellings, AZeroWithAnyExponentIsNotRefused) {
+  for (const char* zero :
+       {"0e400", "0E+9999999999", "0e-400", "0.000e400", "-0.0", "-0", "1e-400"}) {
+    const auto spec = decode_submission(with_field("logbook_s", zero));
+    ASSERT_TRUE(spec) << zero << ": " << spec.error().field;
+    EXPECT_EQ(spec->checkpoint_s, 0) << zero;
+  }
+}
+
+TEST(NumberSpellings, AnAmountOutOfRangeIsRefusedByItsNameAndNotAsMalformedJson) {
+  for (const std::string& number :
+       {std::string("1e999"), "1" + zeros(400), "9" + zeros(309) + ".5"})
+    for (const char* field : {"cores", "voyage_s", "stow_s", "hands", "landfall_s"}) {
+      const auto spec = decode_submission(with_field(field, number));
+      ASSERT_FALSE(spec) << field << number;
+      EXPECT_EQ(spec.error(), (DecodeError{DecodeErrorKind::InvalidField, field}));
+    }
+}
+
+TEST(NumberSpellings, AnUnknownFieldWithANumberOutOfRangeDoesNotRefuseTheRequest) {
+  std::string many = "[";
+  for (int i = 0; i < 5'000; ++i) many += "1e999,";
+  many += "-1e999]";
+  for (const std::string& value : {std::string("1e999"), "1" + zeros(400), "-9" + zeros(400) + ".5",
+                                   std::string(R"({"a":[1e400,"1e400"]})"), many})
+    EXPECT_TRUE(decode_submission(with_unknown_field(value))) << value.substr(0, 40);
+}
+
+TEST(NumberSpellings, NumbersBesideOneOutOfRangeKeepTheirValues) {
+  json::Document document;
+  ASSERT_TRUE(json::parse_object(
+      R"({"a":1e999,"1e999":"1e999 \" 2e999","b":2.5e-1,"c":[3e999,4],"d":-5e999,"e":6})",
+      document));
+  EXPECT_EQ(document["b"].GetDouble(), 0.25);
+  EXPECT_STREQ(document["1e999"].GetString(), "1e999 \" 2e999");
+  EXPECT_EQ(document["c"][1].GetUint64(), 4U);
+  EXPECT_TRUE(std::isinf(document["c"][0].GetDouble()));
+  EXPECT_LT(document["d"].GetDouble(), 0);
+  EXPECT_EQ(document["e"].GetUint64(), 6U);
+}
+
+TEST(NumberSpellings, MalformedNumbersAreNotAcceptedBesideOneOutOfRange) {
+  for (const char* number : {"01e999", "+1e999", ".5e999", "1.e999", "1e", "1e+", "--1", "1e9e9",
+                             "1e999 1", "0x1e999", "1e999.5", "Infinity", "NaN", "-", "1e999\"a\""})
+    for (const char* other : {"1", "1e999"}) {
+      json::Document document;
+      const std::string text = std::string("{\"a\":") + number + ",\"b\":" + other + "}";
+      EXPECT_FALSE(json::parse_object(text, document)) << text;
+    }
+}
+
+TEST(NumberSpellings, ACountIsNotRefusedForAFractionOrAnExponent) {
+  for (const char* count :
+       {"40", "40.0", "4e1", "4.0E+1", "400e-1", "0.04e3", "40.000000000000000000"}) {
+    const auto spec = decode_submission(with_field("hands", count));
+    ASSERT_TRUE(spec) << count;
+    EXPECT_EQ(spec->tasks, 40U) << count;
+  }
+  for (const char* other : {"40.5", "4e-1", "-40.0", "1e6", "0", "\"40\""})
+    EXPECT_FALSE(decode_submission(with_field("hands", other))) << other;
+}
+
+TEST(NumberSpellings, IntegersKeepAll64Bits) {
+  json::Document document;
+  ASSERT_TRUE(json::parse_object(
+      R"({"a":18446744073709551615,"b":18446744073709551616,"c":9007199254740991.0,"d":9007199254740992.0,)"
+      R"("e":1234567890,"f":-1})",
+      document));
+  std::uint64_t number = 0;
+  EXPECT_TRUE(json::get(document, "a", number));
+  EXPECT_EQ(number, 18'446'744'073'709'551'615U);
+  EXPECT_FALSE(json::get(document, "b", number));
+  EXPECT_TRUE(json::get(document, "c", number));
+  EXPECT_EQ(number, 9'007'199'254'740'991U);
+  EXPECT_FALSE(json::get(document, "d", number)) << "another integer may be meant";
+  EXPECT_TRUE(json::get(document, "e", number));
+  EXPECT_EQ(number, 1'234'567'890U);
+  EXPECT_FALSE(json::get(document, "f", number));
+}
+
 }  // namespace
 }  // namespace sailreel
--- a/tests/protocol_test.cpp
+++ b/tests/protocol_test.cpp
@@ -82,8 +82,8 @@
 }
 
 TEST(Submission, NumbersAndIdsAreCheckedStrictly) {
-  for (const char* bad :
-       {"0", "-1", "1.5", "100001", "18446744073709551616", "\"3\"", "1e3", "true"})
+  for (const char* bad : {"0", "-1", "1.5", "100001", "18446744073709551616", "\"3\"", "1e-3",
+                          "1.0005e3", "1e6", "true"})
     EXPECT_FALSE(decode_submission(submission_with("hands", bad))) << bad;
   for (const char* bad : {"-0.1", "NaN", "1e999", "\"8\"", "Infinity", "[]"})
     EXPECT_FALSE(decode_submission(submission_with("cores", bad))) << bad;
