Numbers: times out of range neither wrap around nor stay in stored jobs

What callers would have seen, by test and reading, not in the records of the incident: - landfall_s, recall_s and the like above 2^63 ms were converted to an integer out of range, whose result differs between x86-64 and arm64: a deadline of 1e300 s became the most urgent. ms() is limited to kNever now. - stow_s of 1.7e308 made the grace of a stop command infinite, which the writer leaves out, so the command was malformed. Times of more than 1e10 s count as none. - records stored by earlier versions hold what a zero with many decimals was read as (3.1e-61 on arm64, 6.2e290 on x86-64), so a job that never saves was preempted as one that does. A record read back is judged as a submission is: intervals that no task can have count as none, and amounts out of range aren't taken.

Three tests, which failed on the commit before.

--- a/src/protocol/json.cpp
+++ b/src/protocol/json.cpp
@@ -110,6 +110,13 @@
   return found == object.MemberEnd() || found->value.IsNull() ? nullptr : &found->value;
 }
 
+std::optional<double> amount(const Value& value) {
+  if (!value.IsNumber()) return {};
+  const double number = value.GetDouble();
+  if (!std::isfinite(number) || number < 0) return {};
+  return number;
+}
+
 bool get(const Value& object, const char* name, std::string_view& out) {
   const Value* value = member(object, name);
   if (value == nullptr || !value->IsString()) return false;
@@ -133,11 +140,9 @@
 
 bool get(const Value& object, const char* name, double& out) {
   const Value* value = member(object, name);
-  if (value == nullptr || !value->IsNumber()) return false;
-  const double number = value->GetDouble();
-  if (!std::isfinite(number) || number < 0) return false;
-  out = number;
-  return true;
+  const auto number = value == nullptr ? std::nullopt : amount(*value);
+  if (number) out = *number;
+  return number.has_value();
 }
 
 bool get(const Value& object, const char* name, std::uint64_t& out) {
--- a/src/protocol/json.hpp
+++ b/src/protocol/json.hpp
@@ -13,6 +13,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -63,6 +64,9 @@
 /// The member, or nullptr if it is missing or null.
 const Value* member(const Value& object, const char* name);
 
+/// The value if it is a non-negative number within the range of a double.
+std::optional<double> amount(const Value& value);
+
 // The `get` functions return false and leave `out` unchanged if the field is missing, of another
 // type, or out of range.
 
@@ -70,7 +74,7 @@
 /// Sets `out` to a view into the document, which is valid as long as the document exists.
 bool get(const Value& object, const char* name, std::string_view& out);
 bool get(const Value& object, const char* name, bool& out);
-/// Accepts only non-negative numbers within the range of a double.
+/// Accepts only amounts, see `amount`.
 bool get(const Value& object, const char* name, double& out);
 /// Accepts integers below 2^64; those that are spelled with a fraction or an exponent, like 40.0,
 /// only below 2^53, up to which they are exact.
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -16,8 +16,13 @@
 /// Later than any time that occurs. Times can be added to it without overflow.
 constexpr Time kNever = INT64_MAX / 4;
 
-/// Converts seconds to milliseconds.
-inline Time ms(double seconds) { return static_cast<Time>(seconds * 1000.0); }
+/// Converts seconds to milliseconds, at most `kNever`.
+inline Time ms(double seconds) {
+  constexpr auto kMaxMs = static_cast<double>(kNever);
+  const double milliseconds = seconds * 1000.0;
+  if (!(milliseconds < kMaxMs)) return kNever;
+  return milliseconds > -kMaxMs ? static_cast<Time>(milliseconds) : -kNever;
+}
 
 enum class JobKind : std::uint8_t { Array, Service, Gang };
 /// Ordered from the highest to the lowest priority.
@@ -73,6 +78,14 @@
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   /// Seconds from the submission to the deadline. Empty means that there is no deadline.
   std::optional<double> deadline_s;
+
+  /// Sets times for saving that no task can have to 0. Records of earlier versions hold such times
+  /// where users sent a zero with many decimals.
+  void drop_implausible_save_times() {
+    constexpr double kMinIntervalS = 1e-9, kMaxTimeS = 1e10;
+    if (checkpoint_s < kMinIntervalS || checkpoint_s > kMaxTimeS) checkpoint_s = 0;
+    if (save_s > kMaxTimeS) save_s = 0;
+  }
 };
 
 /// Identifies a task: `index` counts the tasks of a job from 0.
--- a/src/protocol/user_codec.cpp
+++ b/src/protocol/user_codec.cpp
@@ -108,6 +108,7 @@
   if (json::member(doc, "landfall_s") != nullptr)
     fields.required("landfall_s", spec.deadline_s.emplace());
   if (fields.error()) return *fields.error();
+  spec.drop_implausible_save_times();
   return spec;
 }
 
--- a/src/storage/checkpoint_records.cpp
+++ b/src/storage/checkpoint_records.cpp
@@ -47,7 +47,7 @@
 
 void decode_description(const json::Value& value, JobRecord& record) {
   const auto number_at = [&](unsigned position) {
-    return value[position].IsNumber() ? value[position].GetDouble() : 0.0;
+    return json::amount(value[position]).value_or(0.0);
   };
   const auto integer_at = [&](unsigned position) {
     return value[position].IsUint64() ? value[position].GetUint64() : 0;
@@ -73,7 +73,8 @@
   spec.estimate_s = number_at(Position::Estimate);
   spec.checkpoint_s = number_at(Position::CheckpointInterval);
   spec.save_s = number_at(Position::SaveTime);
-  if (value[Position::Deadline].IsNumber()) spec.deadline_s = value[Position::Deadline].GetDouble();
+  spec.drop_implausible_save_times();
+  spec.deadline_s = json::amount(value[Position::Deadline]);
   record.submitted_wall_ms = static_cast<std::int64_t>(integer_at(Position::SubmittedWallMs));
   record.done = Bitmap(spec.tasks);
   record.done.merge_hex(0, text_or_empty(value[Position::DoneBits]));
@@ -241,8 +242,8 @@
   MachineRecord machine{text_or_empty(value[0]), text_or_empty(value[1]), {}};
   // Names and sizes of images alternate.
   for (rapidjson::SizeType i = 2; i + 1 < value.Size(); i += 2)
-    if (value[i + 1].IsNumber())
-      machine.images.push_back({text_or_empty(value[i]), value[i + 1].GetDouble()});
+    if (const auto gb = json::amount(value[i + 1]))
+      machine.images.push_back({text_or_empty(value[i]), *gb});
   return machine;
 }
 
--- a/tests/number_spellings_test.cpp
+++ b/tests/number_spellings_test.cpp
@@ -4,11 +4,13 @@
 
 #include <cmath>
 #include <cstdlib>
+#include <limits>
 #include <string>
 
 #include "protocol/json.hpp"
 #include "protocol/user_codec.hpp"
 #include "protocol/worker_codec.hpp"
+#include "storage/checkpoint_records.hpp"
 #include "support/properties.hpp"
 
 namespace sailreel {
@@ -190,5 +192,41 @@
   EXPECT_FALSE(json::get(document, "f", number));
 }
 
+/// A record whose times for saving were read wrongly by an earlier version.
+std::string stored_record(const std::string& checkpoint_s, const std::string& save_s) {
+  return R"({"t":["job-000007",0,3,40,"cosecha","crew",0,3,5.0,1.0,35.0,"img",8.0,null,"",4,44.0,)" +
+         checkpoint_s + "," + save_s + R"(,null,1700000000000,"",0]})";
+}
+
+TEST(NumberSpellings, AStoredJobIsNotTakenForOneThatSavesBecauseItsZeroWasMisread) {
+  for (const char* misread : {"3.1e-61", "6.237e290", "-4.6e-274", "9.6e-240", "0.0"}) {
+    json::Document document;
+    ASSERT_TRUE(json::parse_object(stored_record(misread, misread), document));
+    const auto record = decode_record(document["t"]);
+    ASSERT_TRUE(record) << record.error().field;
+    EXPECT_EQ(record->spec.checkpoint_s, 0) << misread;
+    EXPECT_LT(record->spec.save_s, 1);
+  }
+  json::Document document;
+  ASSERT_TRUE(json::parse_object(stored_record("30.0", "4.0"), document));
+  const auto record = decode_record(document["t"]);
+  EXPECT_EQ(record->spec.checkpoint_s, 30);
+  EXPECT_EQ(record->spec.save_s, 4);
+}
+
+TEST(NumberSpellings, ATimeBeyondTheClocksRangeDoesNotWrapAround) {
+  for (const double seconds : {1e300, 1e16, std::numeric_limits<double>::infinity()})
+    EXPECT_EQ(ms(seconds), kNever);
+  EXPECT_EQ(ms(-1e300), -kNever);
+  EXPECT_EQ(ms(1.25), 1'250);
+  EXPECT_EQ(ms(-1.25), -1'250);
+}
+
+TEST(NumberSpellings, ASavingTimeOutOfRangeDoesNotMakeAStopCommandMalformed) {
+  const auto spec = decode_submission(with_field("stow_s", "1.7e308"));
+  ASSERT_TRUE(spec);
+  EXPECT_LT(spec->save_s, 1e11);
+}
+
 }  // namespace
 }  // namespace sailreel
