Transport: half requests, silent connections and unread answers don't block or end a controller

Callers saw: while 600 connections had each sent the head of a request and a byte of its body, a controller with fd_limit 500 reset every new connection, /healthz too, for as long as the idle time-out of 60 s. Found beside it: a client that sends requests and doesn't read the answers makes the queue of answers grow without a limit (by over 16 MB in about a second; a controller has as little as 27 MB); silent connections to the peer port keep other controllers out.

Cause: room was given to whoever came first, and a connection whose request never ends counted as active until the idle time-out.

Fix: a request has to be whole within 5 s, the longest that a sender waits for an answer, counted from its first byte or the connection's start; an answer has to be read in that time. When a connection needs room, the one that has waited longest for its sender makes it, else one that has been idle for two heartbeat intervals, so never a worker that reports. A sound request is whole in milliseconds, so senders that reconnect at once only displace each other. On the peer port, the oldest incoming link that hasn't delivered a whole frame makes room.

--- a/src/app/daemon.cpp
+++ b/src/app/daemon.cpp
@@ -21,10 +21,19 @@
 
 /// Client connections without an open request are closed after this time.
 constexpr std::int64_t kIdleTimeoutMs = 60'000;
+/// The longest that a sender waits for a response: users 5 s, workers 4 s (protocol).
+constexpr std::int64_t kRequestTimeoutMs = 5'000;
+/// A worker's connection is idle for at most this many heartbeat intervals.
+constexpr double kMaxIdleHeartbeats = 2;
 /// The interval at which outgoing requests are checked for timeouts.
 constexpr std::int64_t kTimeoutCheckIntervalMs = 50;
-/// The number of timeout checks from one check for idle client connections to the next.
-constexpr std::uint64_t kTimeoutChecksPerIdleCheck = 64;
+/// The number of timeout checks from one check of client connections to the next.
+constexpr std::uint64_t kTimeoutChecksPerConnectionCheck = 10;
+
+HttpServer::Limits server_limits(const Settings& settings, std::size_t max_connections) {
+  return {max_connections, kMaxBodyBytes, kRequestTimeoutMs, kIdleTimeoutMs,
+          ms(settings.workers.heartbeat_interval_s * kMaxIdleHeartbeats)};
+}
 
 std::uint64_t random_seed() {
   std::random_device device;
@@ -41,7 +50,7 @@
         sockets_(distribute_sockets(settings, PeerNetwork::region_link_count(options.federation))),
         service_client_(loop_, sockets_.services),
         worker_client_(loop_, sockets_.worker_calls),
-        server_(loop_, settings.listen, sockets_.server, kMaxBodyBytes, kIdleTimeoutMs,
+        server_(loop_, settings.listen, server_limits(settings, sockets_.server),
                 [this](ServerRequest request) { handle_http_request(std::move(request)); }),
         peer_network_(loop_, settings_, options.federation, sockets_.links,
                       {[this](std::uint64_t link, PeerMessage message) {
@@ -70,7 +79,7 @@
   void check_timeouts() {
     service_client_.close_timed_out();
     worker_client_.close_timed_out();
-    if (++timeout_check_count_ % kTimeoutChecksPerIdleCheck == 0) server_.close_idle();
+    if (++timeout_check_count_ % kTimeoutChecksPerConnectionCheck == 0) server_.close_overdue();
     timeout_check_timer_.set(kTimeoutCheckIntervalMs);
   }
 
--- a/src/app/peer_network.cpp
+++ b/src/app/peer_network.cpp
@@ -103,6 +103,7 @@
   reader.feed(bytes);
   reading_link_ = link;
   while (auto message = reader.next()) {
+    links_.confirm(link);
     events_.message(link, std::move(*message));
     if (!readers_.contains(link)) break;  // the link was closed by the call
   }
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -49,6 +49,7 @@
   }
   void on_closed() override {
     owner_.links_.erase(id_);
+    owner_.unconfirmed_.erase(id_);
     owner_.events_.closed(id_);
   }
 
@@ -81,14 +82,19 @@
 }
 
 void PeerLinks::accept(uv_stream_t* server) {
-  auto* connection = new Connection(*this, next_link_);
-  links_.emplace(next_link_++, connection);
+  if (links_.size() >= max_links_ && !unconfirmed_.empty()) close(*unconfirmed_.begin());
+  const std::uint64_t id = next_link_++;
+  auto* connection = new Connection(*this, id);
+  links_.emplace(id, connection);
+  unconfirmed_.insert(id);
   if (uv_accept(server, connection->raw()) != 0 || links_.size() > max_links_)
     connection->close();
   else
     connection->accepted();
 }
 
+void PeerLinks::confirm(std::uint64_t link) { unconfirmed_.erase(link); }
+
 std::uint64_t PeerLinks::connect(const std::string& address) {
   const std::uint64_t id = next_link_++;
   auto* connection = new Connection(*this, id);
--- a/src/transport/peer_link.hpp
+++ b/src/transport/peer_link.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -45,10 +46,10 @@
     /// indicates that the other side is slow.
     std::int64_t max_delay_ms = 1;
   };
-  /// An incoming connection is closed at once if it would make more than `max_links` links,
-  /// outgoing ones included. A link with more than `max_backlog_bytes` unsent bytes is closed,
-  /// because its frames are too old to be of use. Throws std::runtime_error if it cannot listen on
-  /// `listen`.
+  /// If an incoming connection makes more than `max_links` links, outgoing ones included, the
+  /// oldest incoming link that isn't confirmed is closed, or else the new one. A link with more
+  /// than `max_backlog_bytes` unsent bytes is closed, because its frames are too old to be of use.
+  /// Throws std::runtime_error if it cannot listen on `listen`.
   PeerLinks(EventLoop& loop, const std::string& listen, std::size_t max_links,
             std::size_t max_backlog_bytes, Batching batching, Events events);
   ~PeerLinks();
@@ -58,6 +59,9 @@
   std::uint64_t connect(const std::string& address);
   /// Sends a frame; does nothing if the link has been closed.
   void send(std::uint64_t link, const std::string& bytes, Urgency urgency = Urgency::Now);
+  /// Keeps an incoming link when room is needed for others. The owner must call it when the link
+  /// has delivered a whole frame.
+  void confirm(std::uint64_t link);
   /// Sends all frames that wait on the link.
   void flush(std::uint64_t link);
   /// Closes the link and discards its unsent frames.
@@ -82,6 +86,8 @@
   Timer batch_timer_;
   std::uint64_t next_link_ = 1;
   std::unordered_map<std::uint64_t, Connection*> links_;
+  /// The incoming links that aren't confirmed, the oldest first.
+  std::set<std::uint64_t> unconfirmed_;
   Listener listener_;
 };
 
--- a/tools/scale/region_process.cpp
+++ b/tools/scale/region_process.cpp
@@ -19,13 +19,19 @@
 constexpr Time kTimeoutCheckIntervalMs = 100;
 constexpr Time kHeartbeatTimeoutMs = 4'000;
 constexpr Time kUserTimeoutMs = 5'000;
-constexpr Time kIdleTimeoutMs = 120'000;
 /// Time from the start of the run to the first submission, in which the controllers elect a leader.
 constexpr Time kFirstSubmissionMs = 3'000;
 constexpr std::size_t kMaxUserConnections = 1'000;
 constexpr std::size_t kMaxServiceConnections = 4'000;
 constexpr std::size_t kMaxWorkerConnections = 16;
 constexpr std::size_t kMaxServiceBodyBytes = std::size_t{256} * 1024;
+
+HttpServer::Limits service_limits(std::size_t max_connections) {
+  HttpServer::Limits limits;
+  limits.max_connections = max_connections;
+  limits.max_body_bytes = kMaxServiceBodyBytes;
+  return limits;
+}
 constexpr std::size_t kMaxNamedViolations = 5;
 
 TrafficCounts to_traffic_counts(const Traffic& traffic) {
@@ -62,11 +68,11 @@
       main_process_id_(getppid()),
       users_(loop_, kMaxUserConnections),
       kv_store_(std::make_unique<HttpServer>(
-          loop_, kv_store_address(options_.region), kMaxServiceConnections, kMaxServiceBodyBytes,
-          kIdleTimeoutMs, [this](const ServerRequest& request) { serve_kv_store(request); })),
+          loop_, kv_store_address(options_.region), service_limits(kMaxServiceConnections),
+          [this](const ServerRequest& request) { serve_kv_store(request); })),
       cloud_(std::make_unique<HttpServer>(
-          loop_, cloud_address(options_.region), kMaxServiceConnections, kMaxServiceBodyBytes,
-          kIdleTimeoutMs, [this](const ServerRequest& request) { serve_cloud(request); })),
+          loop_, cloud_address(options_.region), service_limits(kMaxServiceConnections),
+          [this](const ServerRequest& request) { serve_cloud(request); })),
       clock_timer_(loop_, [this] { advance(); }),
       sample_timer_(loop_, [this] { sample(); }),
       timeout_check_timer_(loop_, [this] { check_timeouts(); }) {
@@ -126,8 +132,8 @@
   sockets.client = std::make_unique<HttpClient>(loop_, kMaxWorkerConnections);
   const std::string address = region_->cloud().machines.at(machine).address;
   sockets.server =
-      std::make_unique<HttpServer>(loop_, address, kMaxWorkerConnections, kMaxServiceBodyBytes,
-                                   kIdleTimeoutMs, [this, machine](const ServerRequest& request) {
+      std::make_unique<HttpServer>(loop_, address, service_limits(kMaxWorkerConnections),
+                                   [this, machine](const ServerRequest& request) {
                                      serve_worker(machine, *workers_.at(machine).server, request);
                                    });
   return sockets;
