--- a/sim/fault_injection.cpp
+++ b/sim/fault_injection.cpp
@@ -229,6 +229,14 @@
   copied_commands_ = {share, now_ + for_ms};
 }
 
+void SimulatedRegion::delay_heartbeat_responses(double share, Time for_ms) {
+  delayed_responses_ = {share, now_ + for_ms};
+}
+
+void SimulatedRegion::delay_cloud_requests(double share, Time for_ms) {
+  delayed_cloud_requests_ = {share, now_ + for_ms};
+}
+
 void SimulatedRegion::cancel_on_completion(double share, Time for_ms) {
   cancel_on_completion_ = {share, now_ + for_ms};
 }
--- a/sim/simulated_region.cpp
+++ b/sim/simulated_region.cpp
@@ -208,11 +208,22 @@
     *done = true;
     feed(node, CloudResponseReceived{id, reply});
   };
+  schedule(now_ + call.timeout_ms, [finish] { finish(CloudResponse{}); });
+  const bool changes_machines = call.request.kind == CloudRequest::Kind::ScaleOut ||
+                                call.request.kind == CloudRequest::Kind::Terminate;
+  if (changes_machines && affects_next(delayed_cloud_requests_)) {
+    constexpr Time kMinDelayMs = 2'000;
+    constexpr std::uint32_t kDelaySpanMs = 58'000;
+    schedule(now_ + kMinDelayMs + random_(kDelaySpanMs), [this, request = call.request] {
+      ++late_cloud_requests_;
+      cloud_.handle(request, now_);
+    });
+    return;
+  }
   transmit(nodes_[node].name, kCloudHost, [this, node, request = call.request, finish] {
     const CloudResponse reply = cloud_.handle(request, now_);
     transmit(kCloudHost, nodes_[node].name, [finish, reply] { finish(reply); });
   });
-  schedule(now_ + call.timeout_ms, [finish] { finish(CloudResponse{}); });
 }
 
 void SimulatedRegion::perform(std::size_t node, const CallWorker& call) {
--- a/sim/simulated_region.hpp
+++ b/sim/simulated_region.hpp
@@ -123,6 +123,12 @@
   void delay_heartbeats(double share, Time for_ms);
   /// Delays half of the direct commands, and half of their responses, by up to six seconds.
   void slow_commands(Time for_ms);
+  /// Delays that share of the responses to heartbeats, half of them until just before the worker
+  /// gives up. A machine that hangs takes the response when it goes on, if that is in time.
+  void delay_heartbeat_responses(double share, Time for_ms);
+  /// Makes the cloud carry out that share of launches and terminations 2 to 60 s late, without a
+  /// response.
+  void delay_cloud_requests(double share, Time for_ms);
   /// Makes late copies of that share of the messages that carry commands on their way to a worker:
   /// direct commands, responses to heartbeats, and both parts of a heartbeat that is forwarded
   /// between controllers. A copy arrives after 1 ms to 2.5 worker leases, each order of magnitude
@@ -207,6 +213,10 @@
   void reset_input_waits() { longest_input_wait_ = 0; }
   /// The number of late copies of messages with commands that have arrived.
   [[nodiscard]] std::uint64_t command_copies() const { return command_copies_; }
+  /// The number of delayed responses to heartbeats that have reached a worker.
+  [[nodiscard]] std::uint64_t late_responses() const { return late_responses_; }
+  /// The number of requests that the cloud has carried out late.
+  [[nodiscard]] std::uint64_t late_cloud_requests() const { return late_cloud_requests_; }
   /// The number of heartbeats that have reached a node.
   [[nodiscard]] std::uint64_t heartbeats() const { return heartbeats_; }
   /// Successful responses to users that don't hold a job's state.
@@ -465,6 +475,8 @@
   void preempt_machines(const std::string& machine);
   void plan_overlapping_faults();
   void inject_overlapping_fault(std::uint32_t kind);
+  void receive_late_response(const std::string& machine, Time deadline,
+                             std::function<void()> receive);
   /// Whether the fault affects the next message or task. A random number is drawn only while the
   /// fault lasts.
   [[nodiscard]] bool affects_next(const PartialFault& fault) {
@@ -489,7 +501,9 @@
   std::unordered_map<std::string, std::size_t> user_by_job_;
   NetworkCuts cuts_{[this](const std::string& host) { return zone_of(host); }};
   PartialFault delayed_writes_, lost_write_responses_, kept_for_next_leader_, delayed_heartbeats_,
-      cancel_on_completion_, slow_commands_, copied_commands_;
+      cancel_on_completion_, slow_commands_, copied_commands_, delayed_responses_,
+      delayed_cloud_requests_;
+  std::uint64_t late_responses_ = 0, late_cloud_requests_ = 0;
   Time poll_intensively_until_ = 0;
   std::vector<std::string> kept_heartbeats_;
   std::set<std::string> failing_jobs_, faulty_machines_;
--- a/sim/workers.cpp
+++ b/sim/workers.cpp
@@ -143,7 +143,18 @@
     if (now_ < it->second.outbound_blocked_until) return;
     handle_heartbeat_response(it->second, heartbeat_number, sent_at, incarnation, status, body);
   };
-  response_handlers_[call] = [this, node, name, finish](int status, const std::string& body) {
+  response_handlers_[call] = [this, node, name, sent_at, finish](int status,
+                                                                 const std::string& body) {
+    const Time deadline = sent_at + kHeartbeatTimeoutMs;
+    if (deadline - 1 > now_ && affects_next(delayed_responses_)) {
+      const Time longest = deadline - 1 - now_;
+      const Time delay = random_(2) == 0
+                             ? longest
+                             : static_cast<Time>(random_(static_cast<std::uint32_t>(longest)));
+      return schedule(now_ + delay, [this, name, deadline, finish, status, body] {
+        receive_late_response(name, deadline, [finish, status, body] { finish(status, body); });
+      });
+    }
     transmit(nodes_[node].name, name, [finish, status, body] { finish(status, body); });
     copy_command([finish, status, body] { finish(status, body); });
   };
@@ -172,6 +183,17 @@
   });
 }
 
+void SimulatedRegion::receive_late_response(const std::string& machine, Time deadline,
+                                            std::function<void()> receive) {
+  ++late_responses_;
+  const auto worker = workers_.find(machine);
+  const Time hangs_until = worker == workers_.end() ? 0 : worker->second.hang_until;
+  if (hangs_until > now_ && hangs_until < deadline)
+    schedule(hangs_until, std::move(receive));
+  else
+    receive();
+}
+
 // A cut holds messages that are sent over an open connection. A connection that is only attempted
 // during the cut fails and doesn't complete later. Therefore only the heartbeat that was sent over
 // the connection from before the cut arrives after it, and none of those that the worker sends to
