--- a/tests/submission_spellings_test.cpp
+++ b/tests/submission_spellings_test.cpp
@@ -31,11 +31,14 @@
 std::string in_reverse_order() {
   json::Document document;
   if (!json::parse_object(submission(), document)) return {};
-  std::string fields;
-  for (const auto& member : document.GetObject())
-    fields = "\"" + std::string(member.name.GetString()) + "\":" + json::text(member.value) +
-             (fields.empty() ? "" : ",") + fields;
-  return "{" + fields + "}";
+  std::string fields = "{";
+  for (int i = static_cast<int>(document.MemberCount()) - 1; i >= 0; --i) {
+    const auto member = document.MemberBegin() + i;
+    if (fields.size() > 1) fields += ',';
+    fields.append("\"").append(member->name.GetString()).append("\":");
+    fields += json::text(member->value);
+  }
+  return fields + "}";
 }
 
 struct Spelling {
