--- a/tests/late_command_copies_test.cpp
+++ b/tests/late_command_copies_test.cpp
@@ -13,14 +13,6 @@
 constexpr Time kBootMs = 2'000;
 constexpr Time kFaultsUntil = 130'000;
 
-/// A plan without other faults in which each machine boots within `kBootMs`.
-SimulationPlan copies_plan(std::uint64_t seed) {
-  SimulationPlan plan = plan_without_faults(seed);
-  plan.boot_ms = kBootMs;
-  plan.loss = 0;
-  return plan;
-}
-
 /// Restarts a machine that runs or fetches a task of the job, within a second.
 void restart_machine_of(SimulatedRegion& region, const std::string& job) {
   constexpr Time kDownMs = 300;
@@ -129,7 +121,7 @@
 void expect_rules_kept_despite_copies(
     const std::function<void(SimulatedRegion&, std::uint64_t seed)>& scenario, std::uint64_t seed) {
   SCOPED_TRACE("seed " + std::to_string(seed));
-  SimulatedRegion region(copies_plan(seed));
+  SimulatedRegion region(plan_with_short_boots(seed, kBootMs));
   region.run_until(1'000);
   region.copy_commands(1, kFaultsUntil);
   region.delay_heartbeats(0.1, kFaultsUntil);
--- a/tests/late_starts_test.cpp
+++ b/tests/late_starts_test.cpp
@@ -12,13 +12,6 @@
 constexpr Time kBootMs = 2'000;
 constexpr Time kFaultsUntil = 130'000;
 
-SimulationPlan late_plan(std::uint64_t seed) {
-  SimulationPlan plan = plan_without_faults(seed);
-  plan.boot_ms = kBootMs;
-  plan.loss = 0;
-  return plan;
-}
-
 /// Submits short jobs and has each cancelled while its starts may be on their way; `trouble` is
 /// called in between.
 void cancel_while_starting(SimulatedRegion& region, std::uint64_t seed,
@@ -81,7 +74,7 @@
   std::uint64_t late_responses = 0;
   for (std::uint64_t seed = 1; seed <= seed_count(8); ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    SimulatedRegion region(late_plan(seed));
+    SimulatedRegion region(plan_with_short_boots(seed, kBootMs));
     region.run_until(1'000);
     region.delay_heartbeat_responses(0.5, kFaultsUntil);
     GetParam().run(region, seed);
@@ -162,7 +155,7 @@
   std::uint64_t late_requests = 0;
   for (std::uint64_t seed = 1; seed <= seed_count(8); ++seed) {
     SCOPED_TRACE("seed " + std::to_string(seed));
-    SimulatedRegion region(late_plan(seed));
+    SimulatedRegion region(plan_with_short_boots(seed, kBootMs));
     region.run_until(1'000);
     region.delay_cloud_requests(0.5, kFaultsUntil);
     GetParam().run(region, seed);
--- a/tests/support/scenarios.hpp
+++ b/tests/support/scenarios.hpp
@@ -19,6 +19,14 @@
   return plan;
 }
 
+/// The same, with machines that boot within `boot_ms` and without lost messages.
+inline SimulationPlan plan_with_short_boots(std::uint64_t seed, Time boot_ms) {
+  SimulationPlan plan = plan_without_faults(seed);
+  plan.boot_ms = boot_ms;
+  plan.loss = 0;
+  return plan;
+}
+
 /// Returns the number of seeds to simulate: `default_count` in CI, or the value of
 /// SAILREEL_SOAK_DAYS in a long run that is started manually.
 inline std::uint64_t seed_count(std::uint64_t default_count) {
