--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -27,6 +27,7 @@
 /// only; the loop must outlive the server.
 class HttpServer {
  public:
+  /// What senders may take of the server, and for how long (ms).
   struct Limits {
     /// When there are more connections, one is closed: that which has waited longest for the rest
     /// of a request or for its first, else that which has been idle longest, for at least
